--- /dev/null
+++ b/modules/berylcrank_config/schema/field_rules.cpp
@@ -0,0 +1,221 @@
+#include "modules/berylcrank_config/schema/field_rules.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <array>
+#include <cctype>
+#include <charconv>
+#include <cmath>
+#include <limits>
+
+namespace berylcrank {
+
+namespace {
+
+constexpr std::uint64_t unit_id = 0xb5d1a0c1f2e34002;
+constexpr std::uint64_t least_id = 0xb5d1a0c1f2e34003;
+constexpr std::uint64_t most_id = 0xb5d1a0c1f2e34004;
+constexpr std::uint64_t required_id = 0xb5d1a0c1f2e34005;
+constexpr std::uint64_t format_id = 0xb5d1a0c1f2e34007;
+constexpr std::size_t longest_name = 100;
+
+std::string text_of(capnp::Text::Reader it) {
+    return {it.cStr(), it.size()};
+}
+
+/** Largest value of an unsigned integer type, or of a signed one. */
+std::uint64_t type_most(capnp::Type type) {
+    switch (type.which()) {
+    case capnp::schema::Type::UINT8:
+        return std::numeric_limits<std::uint8_t>::max();
+    case capnp::schema::Type::UINT16:
+        return std::numeric_limits<std::uint16_t>::max();
+    case capnp::schema::Type::UINT32:
+        return std::numeric_limits<std::uint32_t>::max();
+    case capnp::schema::Type::UINT64:
+        return std::numeric_limits<std::uint64_t>::max();
+    default:
+        return std::numeric_limits<std::int64_t>::max();
+    }
+}
+
+bool is_port(std::string_view text) {
+    std::uint32_t port = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), port);
+    return ec == std::errc{} && end == text.data() + text.size() && port > 0 && port <= 65535;
+}
+
+bool is_length_in(std::size_t n, const field_rules& rules) {
+    return (!rules.least || n >= static_cast<std::uint64_t>(*rules.least)) &&
+           (!rules.most || n <= static_cast<std::uint64_t>(*rules.most));
+}
+
+bool is_unsigned_in(std::uint64_t n, const field_rules& rules) {
+    return (!rules.least || *rules.least < 0 || n >= static_cast<std::uint64_t>(*rules.least)) &&
+           (!rules.most || (*rules.most >= 0 && n <= static_cast<std::uint64_t>(*rules.most)));
+}
+
+/** Length of the UTF-8 sequence at the front of `text`; 0 if it is malformed. */
+std::size_t sequence_length(std::string_view text) {
+    const auto first = static_cast<unsigned char>(text[0]);
+    const std::size_t n = first < 0x80   ? 1
+                          : first < 0xC2 ? 0
+                          : first < 0xE0 ? 2
+                          : first < 0xF0 ? 3
+                          : first < 0xF5 ? 4
+                                         : 0;
+    if (n == 0 || n > text.size()) {
+        return 0;
+    }
+    for (std::size_t i = 1; i < n; ++i) {
+        if ((static_cast<unsigned char>(text[i]) & 0xC0U) != 0x80U) {
+            return 0;
+        }
+    }
+    return n;
+}
+
+} // namespace
+
+field_rules rules_of(capnp::StructSchema::Field field) {
+    field_rules it;
+    it.key = to_snake_case(text_of(field.getProto().getName()));
+    for (const auto& annotation : field.getProto().getAnnotations()) {
+        switch (annotation.getId()) {
+        case unit_id:
+            it.unit = text_of(annotation.getValue().getText());
+            break;
+        case format_id:
+            it.format = text_of(annotation.getValue().getText());
+            break;
+        case least_id:
+            it.least = annotation.getValue().getInt64();
+            break;
+        case most_id:
+            it.most = annotation.getValue().getInt64();
+            break;
+        case required_id:
+            it.required = true;
+            break;
+        default:
+            break;
+        }
+    }
+    return it;
+}
+
+std::string to_snake_case(std::string_view camel) {
+    std::string out;
+    for (const char c : camel) {
+        if (std::isupper(static_cast<unsigned char>(c)) != 0) {
+            out += '_';
+            out += static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+        } else {
+            out += c;
+        }
+    }
+    return out;
+}
+
+std::string allowed_text(capnp::Type type, const field_rules& rules) {
+    const std::string unit = rules.unit.empty() ? "" : " (" + rules.unit + ")";
+    if (type.isText()) {
+        if (rules.format == "name") {
+            return "a name of a-z, 0-9, '.' and '-' that starts with a letter or digit, at most 100 "
+                   "characters";
+        }
+        if (rules.format == "ip-port") {
+            return "IPv4:port or [IPv6]:port with a port from 1 to 65535";
+        }
+        return rules.most ? absl::StrCat("a text of at most ", *rules.most, " bytes") : "a text";
+    }
+    if (type.isList()) {
+        return rules.most ? absl::StrCat("a list of at most ", *rules.most, " entries") : "a list";
+    }
+    if (type.isStruct()) {
+        return "a map of keys";
+    }
+    if (type.isBool()) {
+        return "true or false";
+    }
+    if (type.isEnum()) {
+        std::string out = "one of";
+        for (const auto it : type.asEnum().getEnumerants()) {
+            absl::StrAppend(&out, out.size() == 6 ? " " : ", ",
+                            to_snake_case(text_of(it.getProto().getName())));
+        }
+        return out;
+    }
+    if (type.isFloat32() || type.isFloat64()) {
+        const std::string range = rules.least && rules.most
+                                      ? absl::StrCat(" from ", *rules.least, " to ", *rules.most)
+                                      : std::string();
+        return "a number" + range + unit;
+    }
+    const std::uint64_t most = rules.most ? static_cast<std::uint64_t>(*rules.most) : type_most(type);
+    return absl::StrCat("a whole number from ", rules.least.value_or(0), " to ", most, unit);
+}
+
+bool is_name(std::string_view text) {
+    const auto letter = [](char c) { return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9'); };
+    return !text.empty() && text.size() <= longest_name && letter(text[0]) &&
+           std::all_of(text.begin(), text.end(), [&](char c) { return letter(c) || c == '.' || c == '-'; });
+}
+
+bool is_ip_port(std::string_view text) {
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos || !is_port(text.substr(colon + 1))) {
+        return false;
+    }
+    std::string host(text.substr(0, colon));
+    std::array<unsigned char, sizeof(in6_addr)> buf{};
+    if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
+        host = host.substr(1, host.size() - 2);
+        return inet_pton(AF_INET6, host.c_str(), buf.data()) == 1;
+    }
+    return inet_pton(AF_INET, host.c_str(), buf.data()) == 1;
+}
+
+bool is_plain_text(std::string_view text) {
+    while (!text.empty()) {
+        const auto n = sequence_length(text);
+        const auto first = static_cast<unsigned char>(text[0]);
+        if (n == 0 || first == 0x7F || (first < 0x20 && first != '\n' && first != '\t')) {
+            return false;
+        }
+        text.remove_prefix(n);
+    }
+    return true;
+}
+
+bool keeps_rules(const capnp::DynamicValue::Reader& value, capnp::Type type, const field_rules& rules) {
+    if (type.isText()) {
+        const auto text = value.as<capnp::Text>();
+        const std::string_view it(text.cStr(), text.size());
+        return is_plain_text(it) && is_length_in(it.size(), rules) &&
+               (rules.format != "name" || is_name(it)) && (rules.format != "ip-port" || is_ip_port(it));
+    }
+    if (type.isList()) {
+        return is_length_in(value.as<capnp::DynamicList>().size(), rules);
+    }
+    if (type.isEnum()) {
+        return value.as<capnp::DynamicEnum>().getEnumerant() != nullptr;
+    }
+    if (type.isFloat32() || type.isFloat64()) {
+        const auto it = value.as<double>();
+        return std::isfinite(it) && (!rules.least || it >= static_cast<double>(*rules.least)) &&
+               (!rules.most || it <= static_cast<double>(*rules.most));
+    }
+    if (type.isInt8() || type.isInt16() || type.isInt32() || type.isInt64()) {
+        const auto it = value.as<std::int64_t>();
+        return (!rules.least || it >= *rules.least) && (!rules.most || it <= *rules.most);
+    }
+    if (type.isUInt8() || type.isUInt16() || type.isUInt32() || type.isUInt64()) {
+        return is_unsigned_in(value.as<std::uint64_t>(), rules);
+    }
+    return true;
+}
+
+} // namespace berylcrank
