Add configuration state machine

A state knows the set of log offsets that it includes, so that a missing object is told apart from a dropped removal even after a gap.

Builds; no tests yet.

--- /dev/null
+++ b/modules/berylcrank_config/state/object_table.cpp
@@ -0,0 +1,127 @@
+#include "modules/berylcrank_config/state/object_table.h"
+
+#include "modules/berylcrank_config/ticket/canonical_bytes.h"
+#include "modules/berylcrank_config/ticket/object_digest.h"
+
+#include <algorithm>
+
+namespace berylcrank {
+
+namespace {
+
+std::uint64_t hash_of(const object_entry& it) {
+    return canonical_bytes().add(it.number).add(it.offset).add(it.digest).digest();
+}
+
+} // namespace
+
+object_entry make_entry(service_config it, std::uint64_t number, std::uint64_t offset) {
+    const auto digest = digest_of(it);
+    return {number, offset, digest, std::make_shared<const service_config>(std::move(it))};
+}
+
+object_entry make_entry(failure_domain_config it, std::uint64_t number, std::uint64_t offset) {
+    const auto digest = digest_of(it);
+    return {number, offset, digest, std::make_shared<const failure_domain_config>(std::move(it))};
+}
+
+object_entry make_entry(upstream_config it, std::uint64_t number, std::uint64_t offset) {
+    const auto digest = digest_of(it);
+    return {number, offset, digest, std::make_shared<const upstream_config>(std::move(it))};
+}
+
+object_entry make_removal(const object_key& it, std::uint64_t number, std::uint64_t offset) {
+    return {number, offset, digest_of_removal(it), {}};
+}
+
+const object_entry* object_table::find(const object_key& key) const {
+    const auto it = entries_.find(key);
+    return it == entries_.end() ? nullptr : &it->second;
+}
+
+bool object_table::exists(const object_key& key) const {
+    const auto* it = find(key);
+    return it != nullptr && !it->is_removal();
+}
+
+std::uint32_t object_table::references_to(const object_key& key) const {
+    const auto it = references_.find(key);
+    return it == references_.end() ? 0 : it->second;
+}
+
+void object_table::put(const object_key& key, object_entry entry) {
+    auto& slot = entries_[key];
+    if (slot.number != 0) {
+        forget(key, slot);
+    }
+    digest_ += hash_of(entry);
+    count_references(entry, true);
+    if (entry.is_removal()) {
+        removals_.emplace(entry.number, key);
+    }
+    slot = std::move(entry);
+    changed_.push_back(key);
+}
+
+void object_table::erase(const object_key& key) {
+    const auto it = entries_.find(key);
+    if (it != entries_.end()) {
+        forget(key, it->second);
+        entries_.erase(it);
+        changed_.push_back(key);
+    }
+}
+
+std::uint64_t object_table::drop_removals(std::uint64_t floor) {
+    std::uint64_t end = 0;
+    while (!removals_.empty() && removals_.begin()->first <= floor) {
+        const auto key = removals_.begin()->second;
+        end = std::max(end, entries_.at(key).offset + 1);
+        erase(key);
+    }
+    return end;
+}
+
+void object_table::merge(const object_table& other, const offset_ranges& known,
+                         const offset_ranges& other_known) {
+    std::vector<object_key> replaced;
+    for (const auto& [key, entry] : entries_) {
+        if (!other.entries_.contains(key) && other_known.contains(entry.offset)) {
+            replaced.push_back(key);
+        }
+    }
+    for (const auto& key : replaced) {
+        erase(key);
+    }
+    for (const auto& [key, entry] : other.entries_) {
+        const auto* own = find(key);
+        if (own == nullptr ? !known.contains(entry.offset) : entry.is_newer_than(*own)) {
+            put(key, entry);
+        }
+    }
+}
+
+void object_table::count_references(const object_entry& entry, bool add) {
+    const auto* upstream = std::get_if<upstream_ptr>(&entry.content);
+    if (upstream == nullptr) {
+        return;
+    }
+    for (const auto& key : {object_key{object_kind::service, (*upstream)->service},
+                            object_key{object_kind::failure_domain, (*upstream)->failure_domain}}) {
+        if (add) {
+            ++references_[key];
+        } else if (const auto it = references_.find(key); it != references_.end() && --it->second == 0) {
+            references_.erase(it);
+        }
+    }
+}
+
+void object_table::forget(const object_key& key, const object_entry& entry) {
+    digest_ -= hash_of(entry);
+    count_references(entry, false);
+    if (entry.is_removal()) {
+        removals_.erase({entry.number, key});
+    }
+}
+
+} // namespace berylcrank
--- /dev/null
+++ b/modules/berylcrank_config/state/state_codec.cpp
@@ -0,0 +1,191 @@
+#include "modules/berylcrank_config/state/state_codec.h"
+
+#include "modules/berylcrank_config/schema/struct_loader.h"
+#include "modules/berylcrank_config/state/packed_message.h"
+#include "modules/berylcrank_config/ticket/ticket_codec.h"
+
+#include <algorithm>
+#include <record.capnp.h>
+
+namespace berylcrank {
+
+namespace {
+
+/** Room for the mark, the checksum and the fields around a part's content. */
+constexpr std::size_t part_head_bytes = 256;
+
+void write_entry(const object_key& key, const object_entry& entry, schema::ObjectEntry::Builder out) {
+    out.setNumber(entry.number);
+    out.setOffset(entry.offset);
+    if (const auto* service = std::get_if<service_ptr>(&entry.content)) {
+        write_service(**service, out.initService());
+    } else if (const auto* domain = std::get_if<failure_domain_ptr>(&entry.content)) {
+        write_failure_domain(**domain, out.initFailureDomain());
+    } else if (const auto* upstream = std::get_if<upstream_ptr>(&entry.content)) {
+        write_upstream(**upstream, out.initUpstream());
+    } else {
+        write_removal(key, out.initRemoval());
+    }
+}
+
+void write_entries(const state_content& it, std::uint64_t from, schema::ConfigState::Builder out) {
+    std::vector<const object_table::map_type::value_type*> chosen;
+    for (const auto& pair : it.objects.entries()) {
+        if (pair.second.offset >= from) {
+            chosen.push_back(&pair);
+        }
+    }
+    auto list = out.initEntries(static_cast<unsigned>(chosen.size()));
+    for (unsigned i = 0; i < list.size(); ++i) {
+        write_entry(chosen[i]->first, chosen[i]->second, list[i]);
+    }
+}
+
+void write_outcomes(const state_content& it, std::uint64_t from, schema::ConfigState::Builder out) {
+    const auto outcomes = it.outcomes.since(from);
+    auto list = out.initOutcomes(static_cast<unsigned>(outcomes.size()));
+    for (unsigned i = 0; i < list.size(); ++i) {
+        list[i].setNumber(outcomes[i].number);
+        list[i].setOffset(outcomes[i].offset);
+        list[i].setDigest(outcomes[i].digest);
+        list[i].setAccepted(outcomes[i].accepted);
+        list[i].setReason({outcomes[i].reason.c_str(), outcomes[i].reason.size()});
+    }
+}
+
+void write_holders(const state_content& it, std::uint64_t from, schema::ConfigState::Builder out) {
+    std::vector<std::uint16_t> chosen;
+    for (std::uint16_t i = 0; i < group_count; ++i) {
+        if (it.holders.of(i).holder.is_set() && it.holders.of(i).offset >= from) {
+            chosen.push_back(i);
+        }
+    }
+    auto list = out.initHolders(static_cast<unsigned>(chosen.size()));
+    for (unsigned i = 0; i < list.size(); ++i) {
+        list[i].setGroup(chosen[i]);
+        list[i].setHolder(it.holders.of(chosen[i]).holder.value);
+        list[i].setOffset(it.holders.of(chosen[i]).offset);
+    }
+}
+
+void write_ranges(const state_content& it, std::uint64_t from, schema::ConfigState::Builder out) {
+    std::vector<offset_range> chosen;
+    for (auto range : it.ranges.list()) {
+        range.first = std::max(range.first, from);
+        if (range.first < range.end) {
+            chosen.push_back(range);
+        }
+    }
+    auto list = out.initRanges(static_cast<unsigned>(chosen.size()));
+    for (unsigned i = 0; i < list.size(); ++i) {
+        list[i].setFirst(chosen[i].first);
+        list[i].setEnd(chosen[i].end);
+    }
+}
+
+std::string encode_from(const state_content& it, std::uint64_t from) {
+    capnp::MallocMessageBuilder message;
+    auto out = message.initRoot<schema::ConfigState>();
+    out.setFloor(it.outcomes.floor());
+    out.setDroppedEnd(it.dropped_end);
+    write_ranges(it, from, out);
+    write_entries(it, from, out);
+    write_outcomes(it, from, out);
+    write_holders(it, from, out);
+    return write_message(message, message_form::packed);
+}
+
+bool read_entry(schema::ObjectEntry::Reader it, object_table& out) {
+    const auto number = it.getNumber();
+    const auto offset = it.getOffset();
+    switch (it.which()) {
+    case schema::ObjectEntry::SERVICE: {
+        auto object = read_service(it.getService());
+        out.put({object_kind::service, object.name}, make_entry(object, number, offset));
+        return number != 0;
+    }
+    case schema::ObjectEntry::FAILURE_DOMAIN: {
+        auto object = read_failure_domain(it.getFailureDomain());
+        out.put({object_kind::failure_domain, object.name}, make_entry(object, number, offset));
+        return number != 0;
+    }
+    case schema::ObjectEntry::UPSTREAM: {
+        auto object = read_upstream(it.getUpstream());
+        out.put({object_kind::upstream, object.name}, make_entry(object, number, offset));
+        return number != 0;
+    }
+    case schema::ObjectEntry::REMOVAL: {
+        const auto object = read_removal(it.getRemoval());
+        out.put(object, make_removal(object, number, offset));
+        return number != 0 && object.kind <= object_kind::upstream;
+    }
+    }
+    return false;
+}
+
+bool read_content(schema::ConfigState::Reader it, state_content& out) {
+    for (const auto range : it.getRanges()) {
+        out.ranges.add(range.getFirst(), range.getEnd());
+    }
+    for (const auto entry : it.getEntries()) {
+        if (!read_entry(entry, out.objects)) {
+            return false;
+        }
+    }
+    out.outcomes.raise_floor(it.getFloor());
+    for (const auto outcome : it.getOutcomes()) {
+        out.outcomes.add({.number = outcome.getNumber(),
+                          .offset = outcome.getOffset(),
+                          .digest = outcome.getDigest(),
+                          .accepted = outcome.getAccepted(),
+                          .reason = std::string(outcome.getReason().cStr(), outcome.getReason().size())});
+    }
+    for (const auto holder : it.getHolders()) {
+        if (holder.getGroup() >= group_count) {
+            return false;
+        }
+        out.holders.merge(holder.getGroup(), {incarnation{holder.getHolder()}, holder.getOffset()});
+    }
+    out.dropped_end = it.getDroppedEnd();
+    return true;
+}
+
+} // namespace
+
+std::string encode_content(const state_content& it) {
+    return encode_from(it, 0);
+}
+
+std::string encode_delta(const state_content& it, std::uint64_t from) {
+    return encode_from(it, from < it.dropped_end || it.ranges.has_gap() ? 0 : from);
+}
+
+std::optional<state_content> decode_content(std::string_view data) {
+    std::optional<state_content> out(std::in_place);
+    const auto fault = read_message(data, [&](capnp::MessageReader& message) {
+        if (!read_content(message.getRoot<schema::ConfigState>(), *out)) {
+            out.reset();
+        }
+    });
+    if (!fault.empty()) {
+        out.reset();
+    }
+    return out;
+}
+
+std::vector<std::string> cut_snapshot(std::string_view encoded, std::uint64_t applied, std::uint64_t id) {
+    constexpr std::size_t piece_bytes = snapshot_part_bytes - part_head_bytes;
+    const auto count = static_cast<std::uint16_t>((encoded.size() + piece_bytes - 1) / piece_bytes);
+    std::vector<std::string> out;
+    for (std::uint16_t i = 0; i < count; ++i) {
+        out.push_back(
+            encode_snapshot_part({.id = id,
+                                  .index = i,
+                                  .count = count,
+                                  .applied = applied,
+                                  .content = std::string(encoded.substr(i * piece_bytes, piece_bytes))}));
+    }
+    return out;
+}
+
+} // namespace berylcrank
--- /dev/null
+++ b/modules/berylcrank_config/state/ticket_outcomes.cpp
@@ -0,0 +1,113 @@
+#include "modules/berylcrank_config/state/ticket_outcomes.h"
+
+#include "modules/berylcrank_config/ticket/canonical_bytes.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace berylcrank {
+
+namespace {
+
+/** Bounds the memory that records with one number and ever new content can take. */
+constexpr std::size_t kept_per_number = 4;
+
+bool is_before(const ticket_outcome& a, const ticket_outcome& b) {
+    if (a.offset != b.offset) {
+        return a.offset < b.offset;
+    }
+    if (a.digest != b.digest) {
+        return a.digest < b.digest;
+    }
+    return a.accepted != b.accepted ? a.accepted : a.reason < b.reason;
+}
+
+std::uint64_t hash_of(const ticket_outcome& it) {
+    return canonical_bytes()
+        .add(it.number)
+        .add(it.offset)
+        .add(it.digest)
+        .add(std::uint64_t{it.accepted})
+        .digest();
+}
+
+} // namespace
+
+std::vector<ticket_outcome> ticket_outcomes::find(std::uint64_t number) const {
+    const auto it = by_number_.find(number);
+    return it == by_number_.end() ? std::vector<ticket_outcome>{} : it->second;
+}
+
+void ticket_outcomes::add(const ticket_outcome& it) {
+    insert(it);
+    trim();
+}
+
+void ticket_outcomes::merge(const ticket_outcomes& other) {
+    raise_floor(other.floor_);
+    for (const auto& [number, list] : other.by_number_) {
+        for (const auto& it : list) {
+            insert(it);
+        }
+    }
+    trim();
+}
+
+void ticket_outcomes::raise_floor(std::uint64_t floor) {
+    floor_ = std::max(floor_, floor);
+    while (!by_number_.empty() && by_number_.begin()->first <= floor_) {
+        for (const auto& it : by_number_.begin()->second) {
+            digest_ -= hash_of(it);
+        }
+        by_number_.erase(by_number_.begin());
+    }
+}
+
+std::vector<ticket_outcome> ticket_outcomes::recent(std::size_t limit) const {
+    std::vector<ticket_outcome> out;
+    for (auto it = by_number_.rbegin(); it != by_number_.rend() && out.size() < limit; ++it) {
+        const auto n = std::min(limit - out.size(), it->second.size());
+        out.insert(out.end(), it->second.begin(), it->second.begin() + static_cast<std::ptrdiff_t>(n));
+    }
+    return out;
+}
+
+std::vector<ticket_outcome> ticket_outcomes::since(std::uint64_t from) const {
+    std::vector<ticket_outcome> out;
+    for (const auto& [number, list] : by_number_) {
+        std::copy_if(list.begin(), list.end(), std::back_inserter(out),
+                     [&](const auto& it) { return it.offset >= from; });
+    }
+    return out;
+}
+
+void ticket_outcomes::insert(const ticket_outcome& it) {
+    if (it.number <= floor_) {
+        return;
+    }
+    auto& list = by_number_[it.number];
+    const auto same =
+        std::find_if(list.begin(), list.end(), [&](const auto& a) { return a.digest == it.digest; });
+    if (same != list.end()) {
+        if (!is_before(it, *same)) {
+            return;
+        }
+        digest_ -= hash_of(*same);
+        list.erase(same);
+    }
+    list.insert(std::upper_bound(list.begin(), list.end(), it, is_before), it);
+    digest_ += hash_of(it);
+    if (list.size() > kept_per_number) {
+        digest_ -= hash_of(list.back());
+        list.pop_back();
+    }
+}
+
+void ticket_outcomes::trim() {
+    if (by_number_.size() > kept_numbers_) {
+        const auto lowest_kept = std::prev(by_number_.end(), static_cast<std::ptrdiff_t>(kept_numbers_));
+        raise_floor(std::prev(lowest_kept)->first);
+    }
+}
+
+} // namespace berylcrank
--- /dev/null
+++ b/schema/record.capnp
@@ -0,0 +1,76 @@
+@0xb5d1a0c1f2e34040;
+# Records that the system keeps on the platform's log, and the configuration state in snapshots and peer deltas.
+
+using Cxx = import "/capnp/c++.capnp";
+using Ticket = import "ticket.capnp";
+$Cxx.namespace("berylcrank::schema");
+
+struct Assignment {
+  group @0 :UInt16;
+  holder @1 :UInt64;
+  # Incarnation that becomes the holder.
+  replaces @2 :UInt64;
+  # Holder that this assignment replaces; 0: none. It is ignored if another one holds the group by then.
+}
+
+struct SnapshotPart {
+  id @0 :UInt64;
+  # Same in all parts of one snapshot, random otherwise.
+  index @1 :UInt16;
+  count @2 :UInt16;
+  applied @3 :UInt64;
+  # End of the offsets that the snapshot covers.
+  content @4 :Data;
+  # A piece of a packed ConfigState message.
+}
+
+struct LogRecord {
+  union {
+    ticket @0 :Ticket.Ticket;
+    snapshotPart @1 :SnapshotPart;
+    assignments @2 :List(Assignment);
+  }
+}
+
+struct OffsetRange {
+  first @0 :UInt64;
+  end @1 :UInt64;
+}
+
+struct ObjectEntry {
+  number @0 :UInt64;
+  # Ticket that set or removed the object.
+  offset @1 :UInt64;
+  # Offset of that ticket.
+  union {
+    service @2 :Ticket.Service;
+    failureDomain @3 :Ticket.FailureDomain;
+    upstream @4 :Ticket.Upstream;
+    removal @5 :Ticket.Removal;
+  }
+}
+
+struct TicketOutcome {
+  number @0 :UInt64;
+  offset @1 :UInt64;
+  digest @2 :UInt64;
+  accepted @3 :Bool;
+  reason @4 :Text;
+}
+
+struct GroupHolder {
+  group @0 :UInt16;
+  holder @1 :UInt64;
+  offset @2 :UInt64;
+}
+
+struct ConfigState {
+  ranges @0 :List(OffsetRange);
+  # Offsets whose records the state includes.
+  floor @1 :UInt64;
+  droppedEnd @2 :UInt64;
+  # Removals at offsets below this may have been dropped.
+  entries @3 :List(ObjectEntry);
+  outcomes @4 :List(TicketOutcome);
+  holders @5 :List(GroupHolder);
+}
