--- a/modules/berylcrank_config/state/config_state.cpp
+++ b/modules/berylcrank_config/state/config_state.cpp
@@ -51,7 +51,9 @@
 }
 
 bool config_state::join(const state_content& it, bool allow_gap) {
-    const bool starts_above = !it.ranges.list().empty() && it.ranges.list().front().first > applied();
+    const auto& list = it.ranges.list();
+    const bool starts_above =
+        std::any_of(list.begin(), list.end(), [&](const auto& range) { return range.first > applied(); });
     if (starts_above && !allow_gap) {
         return false;
     }
--- a/modules/berylcrank_config/state/config_state.h
+++ b/modules/berylcrank_config/state/config_state.h
@@ -57,8 +57,8 @@
     /** Passes over records that were trimmed unread, up to `offset`. */
     void skip_to(std::uint64_t offset);
 
-    /** Joins a snapshot or peer delta. With `allow_gap` false, content that starts above `applied()` is
-       refused. Returns false if it was refused. */
+    /** Joins a snapshot or peer delta. With `allow_gap` false, content that would leave a gap above
+       `applied()` is refused, since the log may still have those records. Returns false if it was refused. */
     bool join(const state_content& it, bool allow_gap);
 
     /** The view of the current state. */
--- /dev/null
+++ b/modules/berylcrank_node/control/shared_config.cpp
@@ -0,0 +1,114 @@
+#include "modules/berylcrank_node/control/shared_config.h"
+
+#include "modules/berylcrank_config/state/state_codec.h"
+
+namespace berylcrank {
+
+shared_config::shared_config(view_observer observer)
+    : view_(std::make_shared<config_view>()), observer_(std::move(observer)) {}
+
+config_view_ptr shared_config::view() const {
+    const lock_guard guard(view_mutex_);
+    return view_;
+}
+
+void shared_config::apply(std::span<const log_record> records) {
+    for (const auto& it : records) {
+        const lock_guard guard(state_mutex_);
+        state_.apply(it.offset, it.data);
+    }
+    publish();
+}
+
+bool shared_config::scan(std::span<const log_record> records) {
+    bool joined = false;
+    for (const auto& it : records) {
+        const lock_guard guard(state_mutex_);
+        joined = state_.scan(it.offset, it.data) || joined;
+    }
+    if (joined) {
+        publish();
+    }
+    return joined;
+}
+
+void shared_config::skip_to(std::uint64_t offset) {
+    {
+        const lock_guard guard(state_mutex_);
+        state_.skip_to(offset);
+    }
+    publish();
+}
+
+bool shared_config::join(std::string_view encoded, bool allow_gap) {
+    const auto content = decode_content(encoded);
+    if (!content) {
+        return false;
+    }
+    {
+        const lock_guard guard(state_mutex_);
+        if (!state_.join(*content, allow_gap)) {
+            return false;
+        }
+    }
+    publish();
+    return true;
+}
+
+std::string shared_config::delta_since(std::uint64_t from) const {
+    const lock_guard guard(state_mutex_);
+    return encode_delta(state_.content(), from);
+}
+
+std::pair<std::string, std::uint64_t> shared_config::snapshot() const {
+    const lock_guard guard(state_mutex_);
+    return {encode_content(state_.content()), state_.content().ranges.end()};
+}
+
+std::uint64_t shared_config::applied() const {
+    const lock_guard guard(state_mutex_);
+    return state_.applied();
+}
+
+std::uint64_t shared_config::first_missing() const {
+    const lock_guard guard(state_mutex_);
+    return state_.first_missing();
+}
+
+std::optional<seen_snapshot> shared_config::newest_snapshot() const {
+    const lock_guard guard(state_mutex_);
+    return state_.newest_snapshot();
+}
+
+config_read_back shared_config::read_back(std::size_t limit) const {
+    const lock_guard guard(state_mutex_);
+    return {.applied = state_.applied(),
+            .digest = state_.content().digest(),
+            .floor = state_.content().outcomes.floor(),
+            .has_gap = state_.content().ranges.has_gap(),
+            .counters = state_.counters(),
+            .outcomes = state_.content().outcomes.recent(limit)};
+}
+
+std::vector<ticket_outcome> shared_config::outcomes_of(std::uint64_t number) const {
+    const lock_guard guard(state_mutex_);
+    return state_.content().outcomes.find(number);
+}
+
+void shared_config::publish() {
+    config_view_ptr next;
+    {
+        const lock_guard guard(state_mutex_);
+        next = state_.view();
+        const lock_guard view_guard(view_mutex_);
+        if (view_ == next) {
+            return;
+        }
+        view_ = next;
+    }
+    if (observer_) {
+        observer_(next);
+    }
+}
+
+} // namespace berylcrank
--- a/modules/berylcrank_platform/log/log_service.h
+++ b/modules/berylcrank_platform/log/log_service.h
@@ -56,6 +56,10 @@
     /** Reads up to `max` records from offset `from`; waits up to `wait` for one if there is none. A `from`
        below the first retained offset yields records from the first retained one. */
     virtual boost::leaf::result<log_page> read(std::uint64_t from, std::uint32_t max, millis wait) = 0;
+
+    /** Ends calls in progress, so that a thread that waits for the log can be stopped; later calls fail. Safe
+       from any thread. */
+    virtual void cancel() {}
 };
 
 } // namespace berylcrank
--- a/modules/berylcrank_platform/vm_list/vm_list.h
+++ b/modules/berylcrank_platform/vm_list/vm_list.h
@@ -30,6 +30,9 @@
 
     /** The whole list; fails with a `std::string` message. */
     virtual boost::leaf::result<std::vector<vm_entry>> fetch() = 0;
+
+    /** Ends a call in progress; later calls fail. Safe from any thread. */
+    virtual void cancel() {}
 };
 
 } // namespace berylcrank
