--- a/modules/berylcrank_config/schema/scalar.cpp
+++ b/modules/berylcrank_config/schema/scalar.cpp
@@ -5,6 +5,7 @@
 #include <limits>
 #include <optional>
 #include <string>
+#include <yaml-cpp/yaml.h>
 
 namespace berylcrank {
 
