Join configuration states by certain coverage

The property test of joins found two states with a gap whose join depended on the order: an object that one state lacked because it had rejected the ticket, for want of the lost records, counted as removed, so a node without a gap could lose an object to one with a gap. A state now knows up to which offset it was decided with all records known; only within that is a missing object evidence. Ruled out: keeping every removal for good (1.1 million a year), and letting gapped states join nothing (they would not converge with the log down).

--- a/modules/berylcrank_config/state/config_state.cpp
+++ b/modules/berylcrank_config/state/config_state.cpp
@@ -12,7 +12,7 @@
     if (offset < applied()) {
         return apply_result::known;
     }
-    content_.ranges.add(applied(), offset + 1);
+    content_.covered.extend(offset + 1);
     const auto decoded = decode_record(record);
     auto out = apply_result::malformed;
     if (const auto* ticket = std::get_if<ticket_record>(&decoded)) {
@@ -46,18 +46,16 @@
     }
     ++counters_.gaps;
     counters_.gap_offsets += offset - applied();
-    skipped_to_ = offset;
+    content_.covered.end = offset;
     refresh_view();
 }
 
 bool config_state::join(const state_content& it, bool allow_gap) {
-    const auto& list = it.ranges.list();
-    const bool starts_above =
-        std::any_of(list.begin(), list.end(), [&](const auto& range) { return range.first > applied(); });
-    if (starts_above && !allow_gap) {
+    const auto next = content_.covered.joined(it.covered);
+    if (next.has_gap() && !content_.covered.has_gap() && !allow_gap) {
         return false;
     }
-    if (content_.ranges.contains(it.ranges) && content_.digest() == it.digest()) {
+    if (next == content_.covered && content_.digest() == it.digest()) {
         return true;
     }
     content_.join(it);
@@ -66,11 +64,6 @@
     return true;
 }
 
-std::uint64_t config_state::first_missing() const {
-    const auto& list = content_.ranges.list();
-    return list.empty() || list.front().first != 0 ? 0 : list.front().end;
-}
-
 apply_result config_state::apply_ticket(const ticket_record& it, std::uint64_t offset) {
     bool duplicate = false;
     const auto outcome = content_.apply_ticket(it.content, it.fault, offset, duplicate);
@@ -98,13 +91,13 @@
 
 bool config_state::take_part(const snapshot_part& part, std::uint64_t offset) {
     // A node without gaps learns nothing from a snapshot of offsets that it has applied.
-    const bool is_news = part.applied > applied() || content_.ranges.has_gap();
+    const bool is_news = part.applied > applied() || content_.covered.has_gap();
     const auto encoded = collector_.add(part, offset, is_news);
     if (!encoded) {
         return false;
     }
     const auto content = decode_content(*encoded);
-    if (!content || content->ranges.end() != part.applied) {
+    if (!content || content->covered.end != part.applied) {
         ++counters_.malformed;
         return false;
     }
--- a/modules/berylcrank_config/state/config_state.h
+++ b/modules/berylcrank_config/state/config_state.h
@@ -4,7 +4,6 @@
 #include "modules/berylcrank_config/state/snapshot_collector.h"
 #include "modules/berylcrank_config/state/state_content.h"
 
-#include <algorithm>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -65,10 +64,10 @@
     [[nodiscard]] const config_view_ptr& view() const { return view_; }
 
     /** One past the last offset that was included or passed over: the next one to read. */
-    [[nodiscard]] std::uint64_t applied() const { return std::max(content_.ranges.end(), skipped_to_); }
+    [[nodiscard]] std::uint64_t applied() const { return content_.covered.end; }
 
-    /** First offset that is not included; below `applied()` if there is a gap. */
-    [[nodiscard]] std::uint64_t first_missing() const;
+    /** First offset that is not certainly included; below `applied()` if there is a gap. */
+    [[nodiscard]] std::uint64_t first_missing() const { return content_.covered.certain; }
 
     [[nodiscard]] const state_content& content() const { return content_; }
     [[nodiscard]] const apply_counters& counters() const { return counters_; }
@@ -83,7 +82,6 @@
     void refresh_view();
 
     state_content content_;
-    std::uint64_t skipped_to_{0};
     snapshot_collector collector_;
     config_view_ptr view_;
     apply_counters counters_;
--- a/modules/berylcrank_config/state/group_holders.cpp
+++ b/modules/berylcrank_config/state/group_holders.cpp
@@ -17,18 +17,26 @@
     return true;
 }
 
-void group_holders::merge(const group_holders& other) {
+void group_holders::merge(const group_holders& other, const coverage& own_coverage,
+                          const coverage& other_coverage) {
     for (std::size_t i = 0; i < group_count; ++i) {
-        merge(i, other.holders_[i]);
-    }
-}
-
-void group_holders::merge(std::size_t group, const group_holder& it) {
-    auto& current = holders_.at(group);
-    // Equal offsets with other holders can only come from states with a gap; the order must still be total.
-    const bool later = it.offset != current.offset ? it.offset > current.offset : it.holder > current.holder;
-    if (it.holder.is_set() && (!current.holder.is_set() || later)) {
-        current = it;
+        auto& own = holders_[i];
+        const auto& it = other.holders_[i];
+        if (!it.holder.is_set()) {
+            continue;
+        }
+        if (!own.holder.is_set()) {
+            own = it;
+            continue;
+        }
+        const bool own_survives = survives(own, &it, other_coverage);
+        const bool other_survives = survives(it, &own, own_coverage);
+        // Equal offsets with other holders can only come from states with a gap; the order must still be
+        // total.
+        const bool later = it.offset != own.offset ? it.offset > own.offset : it.holder > own.holder;
+        if (own_survives == other_survives ? later : other_survives) {
+            own = it;
+        }
     }
 }
 
--- a/modules/berylcrank_config/state/group_holders.h
+++ b/modules/berylcrank_config/state/group_holders.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "modules/berylcrank_config/state/coverage.h"
 #include "modules/berylcrank_core/identity/incarnation.h"
 
 #include <array>
@@ -37,11 +38,11 @@
     /** Applies one assignment; false if it lost against another one. */
     bool apply(const group_assignment& it, std::uint64_t offset);
 
-    /** Keeps the later assignment of each group. */
-    void merge(const group_holders& other);
+    /** Keeps the later assignment of each group, without those that one side has certainly seen replaced. */
+    void merge(const group_holders& other, const coverage& own_coverage, const coverage& other_coverage);
 
-    /** Sets one holder if its assignment is later. */
-    void merge(std::size_t group, const group_holder& it);
+    /** Sets a holder, whatever was there. */
+    void set(std::size_t group, const group_holder& it) { holders_.at(group) = it; }
 
     [[nodiscard]] const group_holder& of(std::size_t group) const { return holders_.at(group); }
     [[nodiscard]] const std::array<group_holder, group_count>& all() const { return holders_; }
--- a/modules/berylcrank_config/state/object_table.cpp
+++ b/modules/berylcrank_config/state/object_table.cpp
@@ -82,23 +82,31 @@
     return end;
 }
 
-void object_table::merge(const object_table& other, const offset_ranges& known,
-                         const offset_ranges& other_known) {
+void object_table::merge(const object_table& other, const coverage& own_coverage,
+                         const coverage& other_coverage) {
     std::vector<object_key> replaced;
     for (const auto& [key, entry] : entries_) {
-        if (!other.entries_.contains(key) && other_known.contains(entry.offset)) {
+        if (other.find(key) == nullptr && !survives<object_entry>(entry, nullptr, other_coverage)) {
             replaced.push_back(key);
         }
     }
-    for (const auto& key : replaced) {
-        erase(key);
-    }
     for (const auto& [key, entry] : other.entries_) {
         const auto* own = find(key);
-        if (own == nullptr ? !known.contains(entry.offset) : entry.is_newer_than(*own)) {
+        if (own == nullptr) {
+            if (survives<object_entry>(entry, nullptr, own_coverage)) {
+                put(key, entry);
+            }
+            continue;
+        }
+        const bool own_survives = survives(*own, &entry, other_coverage);
+        const bool other_survives = survives(entry, own, own_coverage);
+        if (own_survives == other_survives ? entry.is_newer_than(*own) : other_survives) {
             put(key, entry);
         }
     }
+    for (const auto& key : replaced) {
+        erase(key);
+    }
 }
 
 void object_table::count_references(const object_entry& entry, bool add) {
--- a/modules/berylcrank_config/state/object_table.h
+++ b/modules/berylcrank_config/state/object_table.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "modules/berylcrank_config/state/coverage.h"
 #include "modules/berylcrank_config/state/object_entry.h"
-#include "modules/berylcrank_config/state/offset_ranges.h"
 
 #include "absl/container/btree_set.h"
 #include "absl/container/flat_hash_map.h"
@@ -34,11 +34,8 @@
     /** Drops removals by tickets up to `floor`; returns one past the largest offset dropped, or 0. */
     std::uint64_t drop_removals(std::uint64_t floor);
 
-    /** Takes over the newer entries of `other`, and drops what one side has seen replaced.
-
-        `known` and `other_known` are the offsets that each side includes: an entry that only one side has is
-       dropped if the other side includes its offset. */
-    void merge(const object_table& other, const offset_ranges& known, const offset_ranges& other_known);
+    /** Takes over the newer entries of `other`, and drops what one side has certainly seen replaced. */
+    void merge(const object_table& other, const coverage& own_coverage, const coverage& other_coverage);
 
     /** Order-independent hash over all entries, kept up to date with each change. */
     [[nodiscard]] std::uint64_t digest() const { return digest_; }
--- a/modules/berylcrank_config/state/state_codec.cpp
+++ b/modules/berylcrank_config/state/state_codec.cpp
@@ -68,27 +68,14 @@
     }
 }
 
-void write_ranges(const state_content& it, std::uint64_t from, schema::ConfigState::Builder out) {
-    std::vector<offset_range> chosen;
-    for (auto range : it.ranges.list()) {
-        range.first = std::max(range.first, from);
-        if (range.first < range.end) {
-            chosen.push_back(range);
-        }
-    }
-    auto list = out.initRanges(static_cast<unsigned>(chosen.size()));
-    for (unsigned i = 0; i < list.size(); ++i) {
-        list[i].setFirst(chosen[i].first);
-        list[i].setEnd(chosen[i].end);
-    }
-}
-
 std::string encode_from(const state_content& it, std::uint64_t from) {
     capnp::MallocMessageBuilder message;
     auto out = message.initRoot<schema::ConfigState>();
+    out.setFirst(from);
+    out.setCertain(it.covered.certain);
+    out.setEnd(it.covered.end);
     out.setFloor(it.outcomes.floor());
     out.setDroppedEnd(it.dropped_end);
-    write_ranges(it, from, out);
     write_entries(it, from, out);
     write_outcomes(it, from, out);
     write_holders(it, from, out);
@@ -124,8 +111,9 @@
 }
 
 bool read_content(schema::ConfigState::Reader it, state_content& out) {
-    for (const auto range : it.getRanges()) {
-        out.ranges.add(range.getFirst(), range.getEnd());
+    out.covered = {.first = it.getFirst(), .certain = it.getCertain(), .end = it.getEnd()};
+    if (out.covered.certain > out.covered.end || out.covered.first > out.covered.end) {
+        return false;
     }
     for (const auto entry : it.getEntries()) {
         if (!read_entry(entry, out.objects)) {
@@ -144,7 +132,7 @@
         if (holder.getGroup() >= group_count) {
             return false;
         }
-        out.holders.merge(holder.getGroup(), {incarnation{holder.getHolder()}, holder.getOffset()});
+        out.holders.set(holder.getGroup(), {incarnation{holder.getHolder()}, holder.getOffset()});
     }
     out.dropped_end = it.getDroppedEnd();
     return true;
@@ -157,7 +145,8 @@
 }
 
 std::string encode_delta(const state_content& it, std::uint64_t from) {
-    return encode_from(it, from < it.dropped_end || it.ranges.has_gap() ? 0 : from);
+    const bool is_whole = from < it.dropped_end || from > it.covered.end || it.covered.has_gap();
+    return encode_from(it, is_whole ? 0 : from);
 }
 
 std::optional<state_content> decode_content(std::string_view data) {
--- a/modules/berylcrank_config/state/state_codec.h
+++ b/modules/berylcrank_config/state/state_codec.h
@@ -17,7 +17,7 @@
 std::string encode_content(const state_content& it);
 
 /** What a node lacks that includes all offsets below `from`; the whole content if removals that it needs were
-   dropped. @see decode_content */
+   dropped or this state has a gap. @see decode_content */
 std::string encode_delta(const state_content& it, std::uint64_t from);
 
 /** Reads bytes of `encode_content` or `encode_delta`; nothing if they are malformed. */
--- a/modules/berylcrank_config/state/state_content.cpp
+++ b/modules/berylcrank_config/state/state_content.cpp
@@ -32,10 +32,10 @@
 }
 
 void state_content::join(const state_content& other) {
-    objects.merge(other.objects, ranges, other.ranges);
-    outcomes.merge(other.outcomes);
-    holders.merge(other.holders);
-    ranges.add(other.ranges);
+    objects.merge(other.objects, covered, other.covered);
+    outcomes.merge(other.outcomes, covered, other.covered);
+    holders.merge(other.holders, covered, other.covered);
+    covered = covered.joined(other.covered);
     dropped_end = std::max(dropped_end, other.dropped_end);
     drop_old_removals();
 }
@@ -61,7 +61,7 @@
 
 void state_content::drop_old_removals() {
     // With a gap, a removal may still have to win over an entry that this state never saw.
-    if (!ranges.has_gap()) {
+    if (!covered.has_gap() && covered.first == 0) {
         dropped_end = std::max(dropped_end, objects.drop_removals(outcomes.floor()));
     }
 }
--- a/modules/berylcrank_config/state/state_content.h
+++ b/modules/berylcrank_config/state/state_content.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "modules/berylcrank_config/state/coverage.h"
 #include "modules/berylcrank_config/state/group_holders.h"
 #include "modules/berylcrank_config/state/object_table.h"
-#include "modules/berylcrank_config/state/offset_ranges.h"
 #include "modules/berylcrank_config/state/ticket_outcomes.h"
 
 #include <optional>
@@ -14,11 +14,13 @@
 
 /** The configuration as a value that can be joined; also the content of snapshots and peer deltas.
 
-    `join` is commutative, associative and idempotent. A delta is a content whose `ranges` start above 0.
+    `join` is commutative and idempotent, and associative for states without a gap. A state that passed over
+    records may have accepted a ticket that others rejected; joins then drop what a state without a gap has
+    certainly seen rejected or replaced, and all nodes still converge.
     @see config_state
 */
 struct state_content {
-    offset_ranges ranges; ///< Offsets whose records are included.
+    coverage covered;
     object_table objects;
     ticket_outcomes outcomes{kept_ticket_numbers};
     group_holders holders;
--- a/modules/berylcrank_config/state/ticket_outcomes.cpp
+++ b/modules/berylcrank_config/state/ticket_outcomes.cpp
@@ -43,12 +43,23 @@
     trim();
 }
 
-void ticket_outcomes::merge(const ticket_outcomes& other) {
+void ticket_outcomes::merge(const ticket_outcomes& other, const coverage& own_coverage,
+                            const coverage& other_coverage) {
     raise_floor(other.floor_);
+    std::vector<ticket_outcome> all;
+    for (const auto& [number, list] : by_number_) {
+        std::copy_if(list.begin(), list.end(), std::back_inserter(all), [&](const auto& it) {
+            return !other_coverage.is_certain(it.offset) || other.contains(it);
+        });
+    }
     for (const auto& [number, list] : other.by_number_) {
-        for (const auto& it : list) {
-            insert(it);
-        }
+        std::copy_if(list.begin(), list.end(), std::back_inserter(all),
+                     [&](const auto& it) { return !own_coverage.is_certain(it.offset) || contains(it); });
+    }
+    by_number_.clear();
+    digest_ = 0;
+    for (const auto& it : all) {
+        insert(it);
     }
     trim();
 }
@@ -81,6 +92,11 @@
     return out;
 }
 
+bool ticket_outcomes::contains(const ticket_outcome& it) const {
+    const auto at = by_number_.find(it.number);
+    return at != by_number_.end() && std::find(at->second.begin(), at->second.end(), it) != at->second.end();
+}
+
 void ticket_outcomes::insert(const ticket_outcome& it) {
     if (it.number <= floor_) {
         return;
--- a/modules/berylcrank_config/state/ticket_outcomes.h
+++ b/modules/berylcrank_config/state/ticket_outcomes.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "modules/berylcrank_config/state/coverage.h"
+
 #include "absl/container/btree_map.h"
 
 #include <cstdint>
@@ -34,8 +36,8 @@
     /** Adds an outcome unless it is at or below the floor, and forgets the lowest numbers above the limit. */
     void add(const ticket_outcome& it);
 
-    /** Joins with other outcomes. */
-    void merge(const ticket_outcomes& other);
+    /** Joins with other outcomes, without those that one side certainly decided otherwise. */
+    void merge(const ticket_outcomes& other, const coverage& own_coverage, const coverage& other_coverage);
 
     /** Raises the floor. */
     void raise_floor(std::uint64_t floor);
@@ -53,6 +55,7 @@
     [[nodiscard]] std::uint64_t digest() const { return digest_ + floor_; }
 
 private:
+    [[nodiscard]] bool contains(const ticket_outcome& it) const;
     void insert(const ticket_outcome& it);
     void trim();
 
--- a/modules/berylcrank_node/control/shared_config.cpp
+++ b/modules/berylcrank_node/control/shared_config.cpp
@@ -62,7 +62,7 @@
 
 std::pair<std::string, std::uint64_t> shared_config::snapshot() const {
     const lock_guard guard(state_mutex_);
-    return {encode_content(state_.content()), state_.content().ranges.end()};
+    return {encode_content(state_.content()), state_.applied()};
 }
 
 std::uint64_t shared_config::applied() const {
@@ -85,7 +85,7 @@
     return {.applied = state_.applied(),
             .digest = state_.content().digest(),
             .floor = state_.content().outcomes.floor(),
-            .has_gap = state_.content().ranges.has_gap(),
+            .has_gap = state_.content().covered.has_gap(),
             .counters = state_.counters(),
             .outcomes = state_.content().outcomes.recent(limit)};
 }
--- a/schema/record.capnp
+++ b/schema/record.capnp
@@ -32,11 +32,6 @@
   }
 }
 
-struct OffsetRange {
-  first @0 :UInt64;
-  end @1 :UInt64;
-}
-
 struct ObjectEntry {
   number @0 :UInt64;
   # Ticket that set or removed the object.
@@ -65,12 +60,14 @@
 }
 
 struct ConfigState {
-  ranges @0 :List(OffsetRange);
-  # Offsets whose records the state includes.
-  floor @1 :UInt64;
-  droppedEnd @2 :UInt64;
+  first @0 :UInt64;
+  certain @1 :UInt64;
+  end @2 :UInt64;
+  # Log offsets that the state includes; see modules/berylcrank_config/state/coverage.h.
+  floor @3 :UInt64;
+  droppedEnd @4 :UInt64;
   # Removals at offsets below this may have been dropped.
-  entries @3 :List(ObjectEntry);
-  outcomes @4 :List(TicketOutcome);
-  holders @5 :List(GroupHolder);
+  entries @5 :List(ObjectEntry);
+  outcomes @6 :List(TicketOutcome);
+  holders @7 :List(GroupHolder);
 }
