--- /dev/null
+++ b/tests/process/platform_test.cpp
@@ -0,0 +1,219 @@
+#include "modules/berylcrank_core/time/clock.h"
+#include "modules/berylcrank_node/control/config_follower.h"
+#include "modules/berylcrank_platform/berylcrank_platform.h"
+#include "tests/config/state_fixture.h"
+#include "tests/support/child.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <chrono>
+#include <doctest/doctest.h>
+#include <functional>
+#include <optional>
+#include <thread>
+
+namespace berylcrank {
+
+using namespace testing;
+
+namespace {
+
+constexpr auto ok = std::nullopt;
+
+/** The kind of error that a call fails with; nothing if it succeeds. */
+std::optional<log_error::kind> error_of(const auto& call) {
+    return boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<std::optional<log_error::kind>> {
+            BOOST_LEAF_CHECK(call());
+            return std::optional<log_error::kind>{};
+        },
+        [](const log_error& it) { return std::optional(it.what); },
+        [] { return std::optional(log_error::kind::malformed); });
+}
+
+struct log_fixture {
+    child process{{program("standin_log"), "--port", "0"}};
+    std::string address = process.wait_listening()["http"];
+    http_log_service subject{{.address = address, .answer_limit = millis{300}, .append_limit = millis{300}}};
+
+    void control(const std::string& order) const {
+        http_transfer transfer;
+        const auto result = transfer.post("http://" + address + "/control", order, millis{5000});
+        REQUIRE(result.status == 200);
+    }
+
+    std::optional<log_error::kind> append(std::string_view data) {
+        return error_of([&] { return subject.append(data); });
+    }
+
+    std::optional<log_error::kind> read(std::uint64_t from) {
+        return error_of([&] { return subject.read(from, 10, millis{0}); });
+    }
+
+    log_page page(std::uint64_t from, millis wait = millis{0}) {
+        return boost::leaf::try_handle_all([&] { return subject.read(from, 10, wait); },
+                                           [] { return log_page{.next_offset = 999}; });
+    }
+};
+
+class no_peers final : public state_peers {
+public:
+    std::optional<std::string> pull_delta(std::uint64_t, millis) override { return std::nullopt; }
+};
+
+bool until(const std::function<bool()>& happened) {
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    while (!happened()) {
+        if (std::chrono::steady_clock::now() > end) {
+            return false;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(2));
+    }
+    return true;
+}
+
+} // namespace
+
+// Guards against records that change on their way; they are opaque bytes.
+TEST_CASE_FIXTURE(log_fixture, "http_log_service, any bytes, come back with their offsets") {
+    const std::string bytes("\0\xff\n\"{", 5);
+    CHECK(append("a") == ok);
+    CHECK(append(bytes) == ok);
+    const auto it = page(0);
+    CHECK(it.first_offset == 0);
+    CHECK(it.next_offset == 2);
+    REQUIRE(it.records.size() == 2);
+    CHECK(it.records[1].offset == 1);
+    CHECK(it.records[1].data == bytes);
+    control(R"({"trim":1})");
+    CHECK(page(0).first_offset == 1);
+    CHECK(page(0).records.size() == 1);
+}
+
+// Guards against an error that is taken for another one: a silent log may mean that this node is cut off.
+TEST_CASE_FIXTURE(log_fixture, "http_log_service, faults of the log, are told apart") {
+    using kind = log_error::kind;
+    control(R"({"outage":"refuse"})");
+    CHECK(append("a") == kind::refused);
+    CHECK(read(0) == kind::refused);
+    control(R"({"outage":"silent"})");
+    CHECK(append("a") == kind::silent);
+    CHECK(read(0) == kind::silent);
+    control(R"({"outage":"none","lose_answers":1})");
+    CHECK(append("lost") == kind::refused);
+    CHECK(page(0).next_offset == 1);
+    control(R"({"record_bytes":3})");
+    CHECK(append("1234") == kind::too_large);
+    control(R"({"appends_per_second":0})");
+    CHECK(append("a") == kind::throttled);
+    control(R"({"slow_ms":600})");
+    CHECK(read(0) == kind::silent);
+    control(R"({"slow_ms":0})");
+    CHECK(read(0) == ok);
+    process.send(SIGKILL);
+    process.wait_exit();
+    CHECK(read(0) == kind::refused);
+}
+
+// Guards against a stop that waits for the whole long poll.
+TEST_CASE_FIXTURE(log_fixture, "http_log_service, cancelled in a long poll, returns at once") {
+    const auto start = std::chrono::steady_clock::now();
+    std::thread reader([&] { page(0, millis{20000}); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    subject.cancel();
+    reader.join();
+    CHECK(std::chrono::steady_clock::now() - start < std::chrono::seconds(10));
+}
+
+// Guards against a list that is cut or damaged and taken for one on which vms are gone.
+TEST_CASE("http_vm_list, lag, outage and unreadable entries, never yield a wrong list") {
+    child process({program("standin_vm_list"), "--port", "0"});
+    const auto address = process.wait_listening()["http"];
+    http_vm_list subject({.address = address, .answer_limit = millis{300}});
+    http_transfer transfer;
+    const auto control = [&](const std::string& order) {
+        REQUIRE(transfer.post("http://" + address + "/control", order, millis{5000}).status == 200);
+    };
+    const auto size = [&] {
+        return boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<int> {
+                BOOST_LEAF_AUTO(list, subject.fetch());
+                return static_cast<int>(list.size());
+            },
+            [](const std::string& message) {
+                CHECK_FALSE(message.empty());
+                return -1;
+            },
+            [] { return -2; });
+    };
+    const std::string vm =
+        R"({"vm":"e1","failure_domain":"f","region":"r","http_address":"127.0.0.1:1","rpc_address":"127.0.0.1:2")";
+    CHECK(size() == 0);
+    control(R"({"vms":[)" + vm + R"(},)" + vm + R"(,"leaving":true}]})");
+    CHECK(size() == 2);
+    control(R"({"lag_ms":200,"vms":[]})");
+    CHECK(size() == 2);
+    CHECK(until([&] { return size() == 0; }));
+    control(R"({"lag_ms":0,"vms":[)" + vm + R"(},{"vm":"e2"}]})");
+    CHECK(size() == -1);
+    control(R"({"outage":"refuse"})");
+    CHECK(size() == -1);
+    control(R"({"outage":"silent"})");
+    CHECK(size() == -1);
+}
+
+// Guards against a configuration that is lost or reverts in an outage that is longer than the retention.
+TEST_CASE_FIXTURE(log_fixture,
+                  "config_follower, outage longer than retention, goes on and a new node starts") {
+    steady_clock time;
+    no_peers peers;
+    const auto options = [](std::uint64_t seed) {
+        return config_follower::options{
+            .poll = millis{50}, .retention = millis{1500}, .gap_wait = millis{60000}, .seed = seed};
+    };
+    control(R"({"retention_ms":1500})");
+    config_follower old(options(1), subject, peers, time);
+    old.start();
+    REQUIRE(append(encode_ticket_record(base_ticket(1))) == ok);
+    REQUIRE(append(encode_ticket_record(upstream_ticket(2, "u0"))) == ok);
+    REQUIRE(until([&] { return old.is_ready() && old.view()->find_upstream("u0") != nullptr; }));
+    control(R"({"outage":"refuse"})");
+    REQUIRE(until([&] { return old.evidence().refused.has_value(); }));
+    std::this_thread::sleep_for(std::chrono::milliseconds(1600)); // Longer than the retention of the log.
+    CHECK(old.view()->find_upstream("u0") != nullptr);
+    control(R"({"outage":"none"})");
+    const auto written = old.snapshots_written();
+    REQUIRE(until([&] { return old.snapshots_written() > written; }));
+    http_log_service other_log({.address = address});
+    config_follower fresh(options(2), other_log, peers, time);
+    fresh.start();
+    REQUIRE(until([&] { return fresh.is_ready(); }));
+    CHECK(fresh.view()->find_upstream("u0") != nullptr);
+    CHECK(fresh.view()->digest() == old.view()->digest());
+    fresh.stop();
+    old.stop();
+}
+
+// Guards against a node that comes back from a long freeze and takes or spreads old state.
+TEST_CASE_FIXTURE(log_fixture, "config_follower, old snapshot appended again, changes nothing") {
+    steady_clock time;
+    no_peers peers;
+    config_follower it({.poll = millis{50}}, subject, peers, time);
+    it.start();
+    config_state frozen;
+    frozen.apply(0, encode_ticket_record(base_ticket(1)));
+    frozen.apply(1, encode_ticket_record(upstream_ticket(2, "u0", "s0", 1)));
+    REQUIRE(append(encode_ticket_record(base_ticket(1))) == ok);
+    REQUIRE(append(encode_ticket_record(upstream_ticket(2, "u0", "s0", 1))) == ok);
+    REQUIRE(append(encode_ticket_record(upstream_ticket(3, "u0", "s0", 9))) == ok);
+    REQUIRE(append(encode_ticket_record(removal_ticket(4, object_kind::service, "s1"))) == ok);
+    for (const auto& part : cut_snapshot(encode_content(frozen.content()), frozen.applied(), 77)) {
+        REQUIRE(append(part) == ok);
+    }
+    REQUIRE(append(encode_ticket_record(upstream_ticket(5, "u1"))) == ok);
+    REQUIRE(until([&] { return it.view()->find_upstream("u1") != nullptr; }));
+    CHECK(it.view()->find_upstream("u0")->slots == 9);
+    CHECK(it.view()->find_service("s1") == nullptr);
+    it.stop();
+}
+
+} // namespace berylcrank
