Shorten property tests; scale them with BERYLCRANK_SEEDS

Under ThreadSanitizer in a debug build the suite ran for more than 400 s on the loaded machine, above the test limit of 240 s.

--- a/tests/config/state_fixture.h
+++ b/tests/config/state_fixture.h
@@ -3,11 +3,19 @@
 #include "modules/berylcrank_config/berylcrank_config.h"
 #include "modules/berylcrank_core/random/random_source.h"
 
+#include <algorithm>
+#include <cstdlib>
 #include <string>
 #include <vector>
 
 namespace berylcrank::testing {
 
+/** Number of seeds of a property test: `usual`, times BERYLCRANK_SEEDS if that is set, for longer trials. */
+inline std::uint64_t seed_count(std::uint64_t usual) {
+    const auto* factor = std::getenv("BERYLCRANK_SEEDS");
+    return factor == nullptr ? usual : usual * std::strtoull(factor, nullptr, 10);
+}
+
 inline ticket base_ticket(std::uint64_t number) {
     ticket it{.number = number};
     it.services = {{.name = "s0"}, {.name = "s1"}};
