--- a/modules/berylcrank_config/schema/struct_loader.cpp
+++ b/modules/berylcrank_config/schema/struct_loader.cpp
@@ -54,7 +54,7 @@
                 report(pair.first, joined(path, key),
                        "unknown key; known are " + known_keys(out.getSchema()));
             } else if (!seen.insert(key).second) {
-                report(pair.first, joined(path, key), "the key is given twice");
+                report(pair.first, joined(path, key), "the key is given twice", pair.second);
             } else {
                 load_field(pair.second, joined(path, key), *field, out);
             }
@@ -120,11 +120,17 @@
     }
 
     void report(const YAML::Node& node, const std::string& path, std::string message) {
-        const auto mark = node.Mark();
+        report(node, path, std::move(message), node);
+    }
+
+    /** Reports a fault at `place` that concerns `value`. */
+    void report(const YAML::Node& place, const std::string& path, std::string message,
+                const YAML::Node& value) {
+        const auto mark = place.Mark();
         errors_.push_back({.file = std::string(file_),
                            .line = mark.is_null() ? 0 : mark.line + 1,
                            .key = path,
-                           .value = node.IsMap() ? "" : shortened(node),
+                           .value = value.IsMap() ? "" : shortened(value),
                            .message = std::move(message)});
     }
 
--- a/tests/config/ticket_test.cpp
+++ b/tests/config/ticket_test.cpp
@@ -128,6 +128,7 @@
                                                             {9, "services[0].deadline_ms"},
                                                             {10, "services[1].name"},
                                                             {11, "upstreams"}});
+    CHECK(faults[2].value == "red");
     CHECK(to_string(faults[4]) ==
           "t.yaml:6: services[0].weight: value \"70000\": must be a whole number from 1 to 1000");
 }
