--- a/modules/berylcrank_config/schema/struct_loader.cpp
+++ b/modules/berylcrank_config/schema/struct_loader.cpp
@@ -51,8 +51,8 @@
             const auto& key = pair.first.Scalar();
             const auto field = find_field(out.getSchema(), key);
             if (!field) {
-                report(pair.first, joined(path, key),
-                       "unknown key; known are " + known_keys(out.getSchema()));
+                report(pair.first, joined(path, key), "unknown key; known are " + known_keys(out.getSchema()),
+                       pair.second);
             } else if (!seen.insert(key).second) {
                 report(pair.first, joined(path, key), "the key is given twice", pair.second);
             } else {
