--- a/modules/berylcrank_http/message/body_buffer.cpp
+++ b/modules/berylcrank_http/message/body_buffer.cpp
@@ -76,8 +76,14 @@
     on_space_ = std::move(it);
 }
 
+void body_buffer::set_on_end(std::function<void(state)> it) {
+    const lock_guard hold(mutex_);
+    on_end_ = std::move(it);
+}
+
 void body_buffer::end_with(state it) {
     std::function<void()> notify;
+    std::function<void(state)> notify_end;
     {
         const lock_guard hold(mutex_);
         if (state_ != state::open) {
@@ -85,6 +91,10 @@
         }
         state_ = it;
         notify = on_data_;
+        notify_end = on_end_;
+    }
+    if (notify_end) {
+        notify_end(it);
     }
     if (notify) {
         notify();
--- a/modules/berylcrank_http/message/body_buffer.h
+++ b/modules/berylcrank_http/message/body_buffer.h
@@ -48,6 +48,9 @@
     /** Called, without a lock held, when a refused `push` may be tried again. Set before use. */
     void set_on_space(std::function<void()> it);
 
+    /** Called once, without a lock held, when the producer ends. Set before use. */
+    void set_on_end(std::function<void(state)> it);
+
 private:
     void end_with(state it);
 
@@ -59,6 +62,7 @@
     state state_ ABSL_GUARDED_BY(mutex_){state::open};
     std::function<void()> on_data_ ABSL_GUARDED_BY(mutex_);
     std::function<void()> on_space_ ABSL_GUARDED_BY(mutex_);
+    std::function<void(state)> on_end_ ABSL_GUARDED_BY(mutex_);
 };
 
 } // namespace berylcrank
--- /dev/null
+++ b/modules/berylcrank_node/metrics/node_metrics.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "modules/berylcrank_core/sync/mutex.h"
+#include "modules/berylcrank_node/metrics/service_metrics.h"
+
+#include "absl/container/node_hash_map.h"
+#include <functional>
+#include <memory>
+#include <prometheus/registry.h>
+#include <string>
+#include <string_view>
+
+namespace berylcrank {
+
+/** All metrics of one node. docs/metrics.md lists them with their units.
+
+    Services appear with their first request. Safe for several threads.
+    @see service_metrics
+*/
+class node_metrics {
+public:
+    node_metrics();
+
+    /** Metrics of a service; the reference stays valid. */
+    service_metrics& service(std::string_view name);
+
+    /** Calls `visit` for each service seen so far. */
+    void for_each_service(const std::function<void(const std::string&, service_metrics&)>& visit);
+
+    /** Adds 1 to the counter `berylcrank_<name>_total` of the node; `help` is used at the first call. */
+    prometheus::Counter& counter(const std::string& name, const std::string& help);
+
+    /** The gauge `berylcrank_<name>` of the node. */
+    prometheus::Gauge& gauge(const std::string& name, const std::string& help);
+
+    /** All metrics in the Prometheus text format. */
+    [[nodiscard]] std::string text() const;
+
+private:
+    void add_service(const std::string& name, service_metrics& it);
+
+    std::shared_ptr<prometheus::Registry> registry_;
+    prometheus::Family<prometheus::Counter>& requests_;
+    prometheus::Family<prometheus::Counter>& attempts_;
+    prometheus::Family<prometheus::Counter>& cut_off_;
+    prometheus::Family<prometheus::Counter>& caller_gone_;
+    prometheus::Family<prometheus::Counter>& probe_cost_;
+    prometheus::Family<prometheus::Gauge>& in_flight_;
+    prometheus::Family<prometheus::Histogram>& latency_;
+    mutex mutex_;
+    absl::node_hash_map<std::string, std::unique_ptr<service_metrics>> services_ ABSL_GUARDED_BY(mutex_);
+};
+
+} // namespace berylcrank
