Add test support for whole deployments

Cause: process tests need log, VM list, upstreams and nodes as separate processes. Ruled out: a harness that simulates the network; the tests use real processes, signals and loopback.

--- /dev/null
+++ b/tests/support/deployment.cpp
@@ -0,0 +1,209 @@
+#include "tests/support/deployment.h"
+
+#include <algorithm>
+#include <atomic>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <utility>
+
+namespace berylcrank::testing {
+
+namespace {
+
+std::string port_of(const std::string& address) {
+    return address.substr(address.rfind(':') + 1);
+}
+
+std::string unique_name(const std::string& base) {
+    static std::atomic<int> next{0};
+    return base + "-" + std::to_string(next++) + ".yaml";
+}
+
+} // namespace
+
+deployment::deployment(deployment_shape it) : shape_(std::move(it)) {
+    start_platform();
+    start_upstreams();
+    for (int n = 0; n < shape_.nodes; ++n) {
+        const auto& domain = shape_.failure_domains[n % shape_.failure_domains.size()];
+        launch_node("vm-" + std::to_string(n + 1), domain);
+    }
+    update_vm_list();
+    if (const int ec = publish(first_ticket()); ec != 0) {
+        throw std::runtime_error("ticket 1 was not published: " + std::to_string(ec));
+    }
+    wait_in_force(1);
+    for (const auto& node : nodes_) {
+        wait_until(node.vm + " is ready",
+                   [&] { return send({.address = node.http_address, .path = "/ready"}).status == 200; });
+    }
+}
+
+void deployment::start_platform() {
+    std::vector<std::string> arguments{program("standin_log"), "--port", "0"};
+    arguments.insert(arguments.end(), shape_.log_options.begin(), shape_.log_options.end());
+    log_ = std::make_unique<child>(arguments);
+    log_address_ = log_->wait_listening().at("http");
+    vm_list_ = std::make_unique<child>(std::vector<std::string>{program("standin_vm_list"), "--port", "0"});
+    vm_list_address_ = vm_list_->wait_listening().at("http");
+}
+
+void deployment::start_upstreams() {
+    for (const auto& service : shape_.services) {
+        for (int n = 0; n < service.workers; ++n) {
+            upstreams_.push_back({.name = service.name + "-" + std::to_string(n + 1),
+                                  .service = service.name,
+                                  .failure_domain = shape_.failure_domains[n % shape_.failure_domains.size()],
+                                  .slots = service.slots,
+                                  .options = service.upstream_options});
+        }
+    }
+    for (auto& it : upstreams_) {
+        launch(it, 0);
+    }
+}
+
+void deployment::launch(running_upstream& it, int port) {
+    std::vector<std::string> arguments{program("standin_upstream"), "--port", std::to_string(port), "--slots",
+                                       std::to_string(it.slots)};
+    arguments.insert(arguments.end(), it.options.begin(), it.options.end());
+    it.process = std::make_unique<child>(arguments);
+    it.address = it.process->wait_listening().at("http");
+}
+
+running_upstream& deployment::restart_upstream(const std::string& name) {
+    auto& it = upstream(name);
+    const int port = std::stoi(port_of(it.address));
+    it.process.reset();
+    launch(it, port);
+    return it;
+}
+
+running_node& deployment::launch_node(const std::string& vm, const std::string& failure_domain) {
+    const auto file = temporary_file(unique_name(vm), settings_yaml(vm, failure_domain));
+    auto process =
+        std::make_unique<child>(std::vector<std::string>{program("berylcrank"), "node", "--settings", file});
+    auto listening = process->wait_listening();
+    std::erase_if(nodes_, [&](const running_node& it) { return it.vm == vm; });
+    nodes_.push_back({.vm = vm,
+                      .failure_domain = failure_domain,
+                      .http_address = listening.at("http"),
+                      .rpc_address = listening.at("rpc"),
+                      .process = std::move(process)});
+    return nodes_.back();
+}
+
+running_node& deployment::start_node(const std::string& vm, const std::string& failure_domain) {
+    auto& it = launch_node(vm, failure_domain);
+    update_vm_list();
+    wait_until(vm + " is ready",
+               [&] { return send({.address = it.http_address, .path = "/ready"}).status == 200; });
+    return it;
+}
+
+std::string deployment::settings_yaml(const std::string& vm, const std::string& failure_domain) const {
+    return "vm: " + vm + "\nregion: " + shape_.region + "\nfailure_domain: " + failure_domain +
+           "\nhttp_address: 127.0.0.1:0\nrpc_address: 127.0.0.1:0\nplatform:\n  log_address: " +
+           log_address_ + "\n  vm_list_address: " + vm_list_address_ + "\n" + shape_.more_settings;
+}
+
+std::string deployment::first_ticket() const {
+    std::string text = "number: 1\nauthor: test\nfailure_domains:\n";
+    for (const auto& it : shape_.failure_domains) {
+        text += "  - {name: " + it + ", region: " + shape_.region + "}\n";
+    }
+    text += "services:\n";
+    for (const auto& it : shape_.services) {
+        text += "  - {name: " + it.name + ", request_class: " + it.request_class;
+        text += (it.more_yaml.empty() ? "" : ", " + it.more_yaml) + "}\n";
+    }
+    text += "upstreams:\n";
+    for (const auto& it : upstreams_) {
+        text += "  - {name: " + it.name + ", service: " + it.service +
+                ", failure_domain: " + it.failure_domain + ", address: \"" + it.address +
+                "\", slots: " + std::to_string(it.slots) + "}\n";
+    }
+    return text;
+}
+
+std::string deployment::domain_ticket(std::uint64_t number, const std::string& failure_domain,
+                                      bool in_use) const {
+    return "number: " + std::to_string(number) + "\nfailure_domains:\n  - {name: " + failure_domain +
+           ", region: " + shape_.region + ", in_use: " + (in_use ? "true" : "false") + "}\n";
+}
+
+int deployment::publish(const std::string& ticket_yaml) {
+    const auto file = temporary_file(unique_name("ticket"), ticket_yaml);
+    child it({program("berylcrank"), "publish", "--log", log_address_, "--ticket", file});
+    return it.wait_exit();
+}
+
+void deployment::control(const std::string& address, const std::string& json) {
+    const auto answer = send({.address = address, .method = "POST", .path = "/control", .body = json});
+    if (answer.status != 200) {
+        throw std::runtime_error("control of " + address + " failed: " + answer.body);
+    }
+}
+
+std::string deployment::get(const std::string& address, const std::string& path) {
+    const auto answer = send({.address = address, .path = path});
+    if (!answer.is_whole || answer.status != 200) {
+        throw std::runtime_error(address + path + ": status " + std::to_string(answer.status));
+    }
+    return answer.body;
+}
+
+void deployment::update_vm_list() {
+    auto list = nlohmann::json::array();
+    for (const auto& it : nodes_) {
+        list.push_back({{"vm", it.vm},
+                        {"failure_domain", it.failure_domain},
+                        {"region", shape_.region},
+                        {"http_address", it.http_address},
+                        {"rpc_address", it.rpc_address},
+                        {"state", "live"}});
+    }
+    control(vm_list_address_, nlohmann::json{{"vms", list}}.dump());
+}
+
+int deployment::executions(const std::string& id) {
+    int n = 0;
+    for (const auto& it : upstreams_) {
+        const auto json = nlohmann::json::parse(get(it.address, "/executions"));
+        n += json.at("by_id").value(id, 0);
+    }
+    return n;
+}
+
+long deployment::total(const std::string& counter) {
+    long n = 0;
+    for (const auto& it : upstreams_) {
+        n += nlohmann::json::parse(get(it.address, "/executions")).at(counter).get<long>();
+    }
+    return n;
+}
+
+running_upstream& deployment::upstream(const std::string& name) {
+    const auto it =
+        std::ranges::find_if(upstreams_, [&](const running_upstream& u) { return u.name == name; });
+    if (it == upstreams_.end()) {
+        throw std::runtime_error("no upstream " + name);
+    }
+    return *it;
+}
+
+void deployment::wait_in_force(std::uint64_t ticket, int limit_ms) {
+    for (const auto& node : nodes_) {
+        wait_until(
+            "ticket " + std::to_string(ticket) + " on " + node.vm,
+            [&] {
+                const auto json = nlohmann::json::parse(get(node.http_address, "/status"));
+                return std::ranges::any_of(json.at("tickets"), [&](const nlohmann::json& it) {
+                    return it.at("number") == ticket && it.at("outcome") == "accepted";
+                });
+            },
+            limit_ms);
+    }
+}
+
+} // namespace berylcrank::testing
