--- /dev/null
+++ b/modules/berylcrank_membership/view/peer_view.cpp
@@ -0,0 +1,241 @@
+#include "modules/berylcrank_membership/view/peer_view.h"
+
+#include <algorithm>
+
+namespace berylcrank {
+
+namespace {
+
+constexpr std::size_t max_proofs = 64;
+constexpr millis forget_after{60000}; // A delisted vm is dropped after this time without news.
+
+} // namespace
+
+peer_view::peer_view(options it) : options_(std::move(it)), is_leaving_(options_.self.leaving) {}
+
+void peer_view::apply_vm_list(std::span<const vm_seed> list, instant now) {
+    const lock_guard lock(mutex_);
+    for (auto& [vm, peer] : peers_) {
+        peer.is_delisted = peer.is_delisted || peer.is_listed;
+        peer.is_listed = false;
+    }
+    for (const auto& it : list) {
+        if (it.vm == options_.self.vm) {
+            continue;
+        }
+        const auto [found, is_new] = peers_.try_emplace(it.vm);
+        auto& peer = found->second;
+        if (is_new) {
+            peer.first_seen = now;
+            peer.info.vm = it.vm;
+        }
+        if (!peer.info.run.is_set() || peer.is_gone) {
+            peer.info.failure_domain = it.failure_domain;
+            peer.info.http_address = it.http_address;
+            peer.info.rpc_address = it.rpc_address;
+        }
+        peer.is_listed = true;
+        peer.is_delisted = false;
+        peer.vm_leaving = it.leaving;
+    }
+    for (auto it = peers_.begin(); it != peers_.end();) {
+        const auto& peer = it->second;
+        if (peer.is_delisted && now - peer.last_news() > forget_after) {
+            if (peer.info.run.is_set()) {
+                end_run(peer.info.run, now, true);
+            }
+            it = peers_.erase(it);
+        } else {
+            ++it;
+        }
+    }
+}
+
+void peer_view::leave() {
+    const lock_guard lock(mutex_);
+    is_leaving_ = true;
+}
+
+void peer_view::on_message(const gossip_message& it, instant now) {
+    const lock_guard lock(mutex_);
+    take_sender(it.sender, now, false, {});
+    take_sample(it, now);
+}
+
+void peer_view::on_reply(const gossip_message& it, std::string_view address, instant asked, instant now) {
+    const lock_guard lock(mutex_);
+    take_sender(it.sender, asked, true, address);
+    take_sample(it, now);
+    if (it.fresh_ago) {
+        proofs_.push_back({asked - *it.fresh_ago, it.applied_offset});
+        if (proofs_.size() > max_proofs) {
+            proofs_.pop_front();
+        }
+    }
+}
+
+void peer_view::on_unanswered(const gossip_target& it, instant asked) {
+    const lock_guard lock(mutex_);
+    const auto found = peers_.find(it.vm);
+    if (found != peers_.end() && found->second.info.run == it.run) {
+        found->second.add_doubt(options_.self.run, asked);
+    }
+}
+
+void peer_view::on_refused(const gossip_target& it, instant now) {
+    const lock_guard lock(mutex_);
+    if (it.run.is_set()) {
+        end_run(it.run, now, true);
+    }
+    const auto found = peers_.find(it.vm);
+    if (found == peers_.end()) {
+        return;
+    }
+    auto& peer = found->second;
+    if (peer.info.run == it.run) {
+        peer.is_gone = true;
+        peer.gone_at = now;
+    }
+    if (peer.previous == it.run) {
+        peer.previous = {};
+    }
+}
+
+std::vector<gossip_target> peer_view::choose(random_source& random, instant now) const {
+    const lock_guard lock(mutex_);
+    std::vector<gossip_target> pool;
+    pool.reserve(peers_.size());
+    for (const auto& [vm, peer] : peers_) {
+        const bool is_past = is_gone(peer, now) && !peer.is_listed;
+        if (!is_past && !peer.info.rpc_address.empty()) {
+            pool.push_back({vm, peer.info.run, peer.info.rpc_address});
+        }
+        if (peer.previous.is_set() && peer.previous_address != peer.info.rpc_address) {
+            pool.push_back({vm, peer.previous, peer.previous_address});
+        }
+    }
+    const auto count = std::min(options_.fan_out, pool.size());
+    for (std::size_t i = 0; i < count; ++i) {
+        std::swap(pool[i], pool[i + random.below(pool.size() - i)]);
+    }
+    pool.resize(count);
+    return pool;
+}
+
+std::optional<peer_state> peer_view::state(incarnation run, instant now) const {
+    const lock_guard lock(mutex_);
+    if (run == options_.self.run) {
+        return is_leaving_ ? peer_state::leaving : peer_state::alive;
+    }
+    if (ended_.contains(run)) {
+        return peer_state::gone;
+    }
+    const auto vm = vm_of_.find(run);
+    if (vm == vm_of_.end()) {
+        return std::nullopt;
+    }
+    const auto it = peers_.find(vm->second);
+    return it == peers_.end() ? peer_state::gone : state_of(it->second, needed_observers(now), now);
+}
+
+bool peer_view::has_ended(incarnation run, instant now) const {
+    const lock_guard lock(mutex_);
+    if (const auto it = ended_.find(run); it != ended_.end() && it->second.is_proven) {
+        return true;
+    }
+    const auto vm = vm_of_.find(run);
+    const auto it = vm == vm_of_.end() ? peers_.end() : peers_.find(vm->second);
+    return it != peers_.end() && it->second.is_delisted && now - it->second.last_news() >= options_.silent;
+}
+
+std::optional<std::string> peer_view::rpc_address(incarnation run) const {
+    const lock_guard lock(mutex_);
+    const auto vm = vm_of_.find(run);
+    const auto it = vm == vm_of_.end() ? peers_.end() : peers_.find(vm->second);
+    if (it == peers_.end() || it->second.info.run != run || it->second.is_gone) {
+        return std::nullopt;
+    }
+    return it->second.info.rpc_address;
+}
+
+std::vector<peer_member> peer_view::members(instant now) const {
+    const lock_guard lock(mutex_);
+    std::vector<peer_member> all;
+    all.reserve(peers_.size() + 1);
+    const auto needed = needed_observers(now);
+    for (const auto& [vm, peer] : peers_) {
+        const auto state = state_of(peer, needed, now);
+        if (state != peer_state::gone) {
+            all.push_back({peer.info, state, false});
+            if (peer.heard) {
+                all.back().info.heard_ago = now - *peer.heard;
+            }
+        }
+    }
+    peer_member self{options_.self, is_leaving_ ? peer_state::leaving : peer_state::alive, true};
+    self.info.leaving = is_leaving_;
+    const auto at = std::ranges::lower_bound(
+        all, self.info.vm, {}, [](const peer_member& it) -> const std::string& { return it.info.vm; });
+    all.insert(at, std::move(self));
+    return all;
+}
+
+double peer_view::heard_fraction(millis within, instant now) const {
+    const lock_guard lock(mutex_);
+    std::size_t known = 0;
+    std::size_t heard = 0;
+    for (const auto& [vm, peer] : peers_) {
+        if (!is_gone(peer, now)) {
+            ++known;
+            heard += peer.heard && now - *peer.heard <= within ? 1 : 0;
+        }
+    }
+    return known == 0 ? 1.0 : static_cast<double>(heard) / static_cast<double>(known);
+}
+
+std::optional<instant> peer_view::relayed_proof(std::uint64_t applied_offset) const {
+    const lock_guard lock(mutex_);
+    std::optional<instant> best;
+    for (const auto& it : proofs_) {
+        if (it.offset <= applied_offset && (!best || it.at > *best)) {
+            best = it.at;
+        }
+    }
+    return best;
+}
+
+std::size_t peer_view::size() const {
+    const lock_guard lock(mutex_);
+    return static_cast<std::size_t>(
+        std::ranges::count_if(peers_, [](const auto& it) { return !it.second.is_gone; }));
+}
+
+bool peer_view::is_gone(const peer_record& it, instant now) const {
+    return it.is_gone || (it.is_delisted && now - it.last_news() >= options_.silent);
+}
+
+peer_state peer_view::state_of(const peer_record& it, std::size_t needed, instant now) const {
+    if (is_gone(it, now)) {
+        return peer_state::gone;
+    }
+    if (it.info.leaving || it.vm_leaving) {
+        return peer_state::leaving;
+    }
+    const bool is_quiet = now - it.last_news() >= options_.silent;
+    // Doubts older than this come from observers that may themselves have gone since.
+    const auto oldest = now - options_.silent * 4.0;
+    return is_quiet && it.doubts(oldest) >= needed ? peer_state::silent : peer_state::alive;
+}
+
+std::size_t peer_view::needed_observers(instant now) const {
+    std::size_t heard = 1; // This node is an observer as well.
+    for (const auto& [vm, peer] : peers_) {
+        if (heard >= options_.observers) {
+            break;
+        }
+        heard += peer.heard && now - *peer.heard < options_.silent && !peer.is_gone ? 1 : 0;
+    }
+    return std::min(options_.observers, heard);
+}
+
+} // namespace berylcrank
--- /dev/null
+++ b/modules/berylcrank_membership/view/peer_view_news.cpp
@@ -0,0 +1,185 @@
+// The part of peer_view that reads and writes gossip messages.
+#include "modules/berylcrank_membership/view/peer_view.h"
+
+#include <algorithm>
+
+namespace berylcrank {
+
+namespace {
+
+constexpr std::uint64_t full_one_in = 8; // Share of old news that is repeated with addresses.
+
+bool same_details(const peer_info& a, const peer_info& b) {
+    return a.http_address == b.http_address && a.rpc_address == b.rpc_address &&
+           a.failure_domain == b.failure_domain;
+}
+
+/** Moves `count` random entries to the front. */
+template <typename T>
+void shuffle_front(std::vector<T>& all, std::size_t count, random_source& random) {
+    for (std::size_t i = 0; i < count; ++i) {
+        std::swap(all[i], all[i + random.below(all.size() - i)]);
+    }
+}
+
+} // namespace
+
+void peer_view::take_sender(const peer_info& it, instant at, bool is_reply, std::string_view address) {
+    if (!it.run.is_set() || it.vm.empty() || it.run == options_.self.run || it.vm == options_.self.vm) {
+        return;
+    }
+    if (const auto ended = ended_.find(it.run); ended != ended_.end()) {
+        if (!is_reply || at <= ended->second.at) {
+            return;
+        }
+        ended_.erase(ended); // It answered a call that was made after its supposed end.
+    }
+    const auto [found, is_new] = peers_.try_emplace(it.vm);
+    auto& peer = found->second;
+    if (is_new) {
+        peer.first_seen = at;
+    }
+    if (peer.info.run != it.run) {
+        set_run(peer, it, at);
+    }
+    update_info(peer, it, at);
+    peer.is_gone = false;
+    peer.hear(at);
+    if (is_reply && peer.previous.is_set() && peer.previous_address == address) {
+        end_run(peer.previous, at, true); // Another run answers at its address.
+        peer.previous = {};
+    }
+}
+
+void peer_view::take_sample(const gossip_message& it, instant now) {
+    for (const auto& entry : it.peers) {
+        if (!entry.run.is_set() || entry.run == options_.self.run || entry.vm == options_.self.vm ||
+            !entry.heard_ago || ended_.contains(entry.run)) {
+            continue;
+        }
+        if (*entry.heard_ago < options_.silent) {
+            take_indirect(entry, now - *entry.heard_ago, now);
+            continue;
+        }
+        const auto vm = vm_of_.find(entry.run);
+        const auto peer = vm == vm_of_.end() ? peers_.end() : peers_.find(vm->second);
+        if (peer != peers_.end() && peer->second.info.run == entry.run) {
+            peer->second.add_doubt(it.sender.run, now);
+        }
+    }
+}
+
+void peer_view::take_indirect(const peer_info& it, instant at, instant now) {
+    const auto known = vm_of_.find(it.run);
+    if (it.vm.empty() && known == vm_of_.end()) {
+        return; // A short entry about a run that is not known yet; a full one will follow.
+    }
+    const auto& vm = it.vm.empty() ? known->second : it.vm;
+    const auto [found, is_new] = peers_.try_emplace(vm);
+    auto& peer = found->second;
+    if (is_new) {
+        peer.first_seen = now;
+    }
+    if (peer.info.run != it.run) {
+        if (it.vm.empty() || (peer.info.run.is_set() && peer.heard && at <= *peer.heard)) {
+            return; // News of an earlier run on that vm.
+        }
+        set_run(peer, it, at);
+        peer.is_gone = false;
+    }
+    if (it.vm.empty()) {
+        peer.info.leaving = peer.info.leaving || it.leaving;
+    } else {
+        update_info(peer, it, now);
+    }
+    peer.hear(at);
+}
+
+void peer_view::set_run(peer_record& peer, const peer_info& it, instant at) {
+    const auto old = peer.info.run;
+    if (old.is_set()) {
+        const bool was_ended = ended_.contains(old);
+        end_run(old, at, false);
+        if (!was_ended || !ended_[old].is_proven) {
+            peer.previous = old;
+            peer.previous_address = peer.info.rpc_address;
+        }
+    }
+    peer.info = it;
+    peer.info.heard_ago.reset();
+    peer.heard.reset();
+    peer.changed = at;
+    vm_of_[it.run] = it.vm;
+}
+
+void peer_view::update_info(peer_record& peer, const peer_info& it, instant at) {
+    const bool is_leaving = peer.info.leaving || it.leaving; // A run that leaves does not come back.
+    if (!same_details(peer.info, it) || is_leaving != peer.info.leaving) {
+        peer.changed = at;
+    }
+    peer.info = it;
+    peer.info.leaving = is_leaving;
+    peer.info.heard_ago.reset();
+}
+
+void peer_view::end_run(incarnation run, instant now, bool is_proven) {
+    const auto [it, is_new] = ended_.try_emplace(run, ended_run{now, is_proven});
+    if (!is_new) {
+        it->second.at = std::max(it->second.at, now);
+        it->second.is_proven = it->second.is_proven || is_proven;
+        return;
+    }
+    vm_of_.erase(run);
+    ended_order_.push_back(run);
+    if (ended_order_.size() > options_.max_gone) {
+        ended_.erase(ended_order_.front());
+        ended_order_.pop_front();
+    }
+}
+
+gossip_message peer_view::make_message(random_source& random, instant now) const {
+    const lock_guard lock(mutex_);
+    gossip_message out;
+    out.sender = options_.self;
+    out.sender.leaving = is_leaving_;
+    out.sender.heard_ago = millis{0};
+    std::vector<const peer_record*> urgent;
+    std::vector<const peer_record*> usual;
+    for (const auto& [vm, peer] : peers_) {
+        if (!peer.info.run.is_set() || peer.is_gone) {
+            continue;
+        }
+        const bool is_fresh = peer.heard && now - *peer.heard < options_.silent;
+        if (is_fresh) {
+            (now - peer.changed < options_.news ? urgent : usual).push_back(&peer);
+        } else if (peer.is_doubted_by(options_.self.run)) {
+            urgent.push_back(&peer); // Old age is told only by nodes that asked in vain.
+        }
+    }
+    const auto half =
+        std::min(urgent.size(),
+                 std::max(options_.sample / 2, options_.sample - std::min(options_.sample, usual.size())));
+    shuffle_front(urgent, half, random);
+    const auto rest = std::min(usual.size(), options_.sample - std::min(half, options_.sample));
+    shuffle_front(usual, rest, random);
+    for (std::size_t i = 0; i < half; ++i) {
+        out.peers.push_back(told(*urgent[i], random, now));
+    }
+    for (std::size_t i = 0; i < rest; ++i) {
+        out.peers.push_back(told(*usual[i], random, now));
+    }
+    return out;
+}
+
+peer_info peer_view::told(const peer_record& it, random_source& random, instant now) const {
+    const auto age = now - it.last_news();
+    const bool is_full = now - it.changed < options_.news || random.below(full_one_in) == 0;
+    if (is_full) {
+        auto info = it.info;
+        info.heard_ago = age;
+        return info;
+    }
+    return {.run = it.info.run, .leaving = it.info.leaving, .heard_ago = age};
+}
+
+} // namespace berylcrank
--- /dev/null
+++ b/modules/berylcrank_routing/cold/warm_count.cpp
@@ -0,0 +1,64 @@
+#include "modules/berylcrank_routing/cold/warm_count.h"
+
+#include <algorithm>
+
+namespace berylcrank {
+
+namespace {
+constexpr std::size_t max_incarnations = 4; // One is usual; answers of two cross at a restart.
+}
+
+warm_count::entry& warm_count::find(std::string_view upstream_incarnation) {
+    const auto it = std::ranges::find(entries_, upstream_incarnation, &entry::upstream_incarnation);
+    if (it != entries_.end()) {
+        return *it;
+    }
+    if (entries_.size() == max_incarnations) {
+        entries_.erase(entries_.begin());
+    }
+    return entries_.emplace_back(entry{std::string(upstream_incarnation)});
+}
+
+warm_count::change warm_count::good(std::string_view upstream_incarnation, std::uint32_t warm_requests) {
+    if (upstream_incarnation.empty()) {
+        return change::none;
+    }
+    auto& it = find(upstream_incarnation);
+    if (it.warm || ++it.good < warm_requests) {
+        return change::none;
+    }
+    it.warm = true;
+    return change::became_warm;
+}
+
+warm_count::change warm_count::cold(std::string_view upstream_incarnation) {
+    if (upstream_incarnation.empty()) {
+        return change::none;
+    }
+    auto& it = find(upstream_incarnation);
+    it.good = 0;
+    if (!it.warm) {
+        return change::none;
+    }
+    it.warm = false;
+    return change::became_cold;
+}
+
+warm_count::change warm_count::adopt(std::string_view upstream_incarnation) {
+    if (upstream_incarnation.empty()) {
+        return change::none;
+    }
+    auto& it = find(upstream_incarnation);
+    if (it.warm) {
+        return change::none;
+    }
+    it.warm = true;
+    return change::became_warm;
+}
+
+bool warm_count::is_warm(std::string_view upstream_incarnation) const {
+    const auto it = std::ranges::find(entries_, upstream_incarnation, &entry::upstream_incarnation);
+    return it != entries_.end() && it->warm;
+}
+
+} // namespace berylcrank
