Serve callers with libmicrohttpd and send to upstreams with libcurl

Cause: the HTTP interfaces had no implementation. Ruled out: curl_multi_poll, which builds a poll set of all connections on each call; a watcher registration per request, which costs two system calls where an edge-triggered one costs none. Change: server with suspended connections, bounded bodies and heads, hang-up detection; client with one epoll loop per thread, checked framing and ids, and a guard against resends by the library.

--- /dev/null
+++ b/modules/berylcrank_http/client/client_shard.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "modules/berylcrank_core/sync/mutex.h"
+#include "modules/berylcrank_http/client/transfer.h"
+
+#include "absl/container/flat_hash_set.h"
+
+#include <thread>
+#include <vector>
+
+namespace berylcrank {
+
+class curl_call;
+
+/** One thread of the client with its libcurl multi handle, connections and epoll loop.
+
+    @see curl_upstream_client, transfer
+*/
+class client_shard : public std::enable_shared_from_this<client_shard> {
+public:
+    enum class command : std::uint8_t { start, resume, cancel };
+
+    explicit client_shard(const upstream_client::options& it);
+    ~client_shard();
+    client_shard(const client_shard&) = delete;
+    client_shard& operator=(const client_shard&) = delete;
+
+    /** Starts the thread. */
+    void open();
+
+    /** Cancels all attempts and ends the thread. */
+    void close();
+
+    /** Hands a command to the thread; false if the shard is closed. */
+    bool post(command what, std::shared_ptr<curl_call> call);
+
+private:
+    struct order {
+        command what;
+        std::shared_ptr<curl_call> call;
+    };
+    using steady = transfer::steady;
+
+    static int on_socket(CURL* easy, curl_socket_t socket, int what, void* self, void* known);
+    static int on_timer(CURLM* multi, long timeout_ms, void* self);
+
+    void run();
+    void wait_and_act();
+    void act(curl_socket_t socket, int events);
+    void run_timer();
+    bool run_orders();
+    void start(const std::shared_ptr<curl_call>& call);
+    void finish_done();
+    void finish_overdue();
+    void finish(std::shared_ptr<curl_call> call, CURLcode code, std::optional<attempt_end> forced);
+
+    upstream_client::options options_;
+    CURLM* multi_;
+    int epoll_;
+    int wake_event_;
+    std::thread thread_;
+
+    // Only for the thread.
+    std::optional<steady::time_point> timer_;
+    steady::time_point next_check_;
+    absl::flat_hash_set<std::shared_ptr<curl_call>> active_;
+    std::vector<std::unique_ptr<transfer>> spare_;
+    std::vector<order> taken_;
+
+    mutex mutex_;
+    std::vector<order> orders_ ABSL_GUARDED_BY(mutex_);
+    bool is_closed_ ABSL_GUARDED_BY(mutex_){false};
+};
+
+/** An attempt of the client. @see client_shard */
+class curl_call final : public upstream_call, public std::enable_shared_from_this<curl_call> {
+public:
+    curl_call(std::weak_ptr<client_shard> shard, upstream_request request,
+              std::shared_ptr<upstream_observer> observer);
+
+    void resume() override;
+    void cancel() override;
+
+private:
+    friend class client_shard;
+
+    std::weak_ptr<client_shard> shard_;
+    transfer::steady::time_point started_;
+
+    // Only for the shard's thread once the call is posted.
+    upstream_request request_;
+    std::shared_ptr<upstream_observer> observer_;
+    std::unique_ptr<transfer> transfer_;
+};
+
+} // namespace berylcrank
--- /dev/null
+++ b/modules/berylcrank_http/client/transfer.cpp
@@ -0,0 +1,313 @@
+#include "modules/berylcrank_http/client/transfer.h"
+
+#include "modules/berylcrank_core/verdict/run_verdict.h"
+
+#include "absl/strings/match.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace berylcrank {
+
+namespace {
+
+constexpr long receive_bytes = 65536;
+// The body of a shed answer is read so that its connection can be used again, but not more than this.
+constexpr std::uint64_t max_shed_bytes = 16384;
+
+bool is_set_here(std::string_view name) {
+    constexpr std::array names{"Host",       "Content-Length", "Transfer-Encoding",
+                               "Connection", "Expect",         "Berylcrank-Request-Id"};
+    return std::ranges::any_of(names, [&](const char* it) {
+        return absl::EqualsIgnoreCase(it, {name.data(), name.size()});
+    });
+}
+
+bool is_one_line(std::string_view it) {
+    return it.find_first_of(std::string_view("\r\n\0", 3)) == std::string_view::npos;
+}
+
+bool is_target(std::string_view it) {
+    return it.starts_with('/') && std::ranges::all_of(it, [](char c) { return c > ' ' && c != 127; });
+}
+
+run_verdict verdict_of(attempt_end end, bool is_sent) {
+    switch (end) {
+    case attempt_end::complete:
+        return run_verdict::ran;
+    case attempt_end::connect_failed:
+    case attempt_end::denied:
+    case attempt_end::shed:
+        return run_verdict::not_run;
+    default:
+        return is_sent ? run_verdict::may_have_run : run_verdict::not_run;
+    }
+}
+
+} // namespace
+
+transfer::transfer(const upstream_client::options& it) : easy_(curl_easy_init()) {
+    set_fixed_options(it);
+}
+
+transfer::~transfer() {
+    curl_easy_cleanup(easy_);
+    curl_slist_free_all(headers_);
+}
+
+void transfer::set_fixed_options(const upstream_client::options& it) {
+    curl_easy_setopt(easy_, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy_, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy_, CURLOPT_NOPROXY, "*");
+    curl_easy_setopt(easy_, CURLOPT_PROTOCOLS_STR, "http");
+    curl_easy_setopt(easy_, CURLOPT_FOLLOWLOCATION, 0L);
+    curl_easy_setopt(easy_, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+    curl_easy_setopt(easy_, CURLOPT_HTTP09_ALLOWED, 0L);
+    curl_easy_setopt(easy_, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy_, CURLOPT_BUFFERSIZE, receive_bytes);
+    curl_easy_setopt(easy_, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(it.connect_timeout.count()));
+    curl_easy_setopt(easy_, CURLOPT_HEADERFUNCTION, &on_header);
+    curl_easy_setopt(easy_, CURLOPT_HEADERDATA, this);
+    curl_easy_setopt(easy_, CURLOPT_WRITEFUNCTION, &on_body);
+    curl_easy_setopt(easy_, CURLOPT_WRITEDATA, this);
+    // Without a seek function libcurl cannot send a body again on a second connection.
+    curl_easy_setopt(easy_, CURLOPT_READFUNCTION, &on_read);
+    curl_easy_setopt(easy_, CURLOPT_READDATA, this);
+    curl_easy_setopt(easy_, CURLOPT_SOCKOPTFUNCTION, &on_socket);
+    curl_easy_setopt(easy_, CURLOPT_SOCKOPTDATA, this);
+    curl_easy_setopt(easy_, CURLOPT_PREREQFUNCTION, &on_before_request);
+    curl_easy_setopt(easy_, CURLOPT_PREREQDATA, this);
+}
+
+bool transfer::prepare(const upstream_request& request, upstream_observer& observer,
+                       steady::time_point started) {
+    request_ = &request;
+    observer_ = &observer;
+    started_ = started;
+    progress_ = steady::now();
+    body_sent_ = 0;
+    body_received_ = 0;
+    shed_bytes_ = 0;
+    connection_ = {.local_port = 0, .is_new = false};
+    end_.reset();
+    is_sent_ = false;
+    is_shed_ = false;
+    is_paused_ = false;
+    parser_.reset(request.method == "HEAD");
+    if (!is_target(request.path) || !is_one_line(request.method) || !is_one_line(request.address) ||
+        request.method.empty() || !set_headers()) {
+        return false;
+    }
+    curl_easy_setopt(easy_, CURLOPT_URL, ("http://" + request.address + "/").c_str());
+    curl_easy_setopt(easy_, CURLOPT_REQUEST_TARGET, request.path.c_str());
+    set_method();
+    return true;
+}
+
+void transfer::set_method() {
+    const auto& method = request_->method;
+    const bool has_body = request_->body && !request_->body->empty();
+    const bool is_plain = !has_body && (method == "GET" || method == "HEAD");
+    // Only a request with a body or of a method that usually has one carries a Content-Length.
+    const bool has_length = has_body || method == "POST" || method == "PUT" || method == "PATCH";
+    curl_easy_setopt(easy_, CURLOPT_CUSTOMREQUEST, is_plain ? nullptr : method.c_str());
+    if (has_length) {
+        curl_easy_setopt(easy_, CURLOPT_POST, 1L);
+        curl_easy_setopt(easy_, CURLOPT_POSTFIELDSIZE_LARGE,
+                         static_cast<curl_off_t>(has_body ? request_->body->size() : 0));
+    } else if (method == "HEAD") {
+        curl_easy_setopt(easy_, CURLOPT_NOBODY, 1L);
+    } else {
+        curl_easy_setopt(easy_, CURLOPT_HTTPGET, 1L);
+    }
+    curl_easy_setopt(easy_, CURLOPT_TIMEOUT_MS,
+                     request_->timeout ? std::max<long>(1, request_->timeout->count()) : 0L);
+    // libcurl sends an empty body again when a reused connection closes without an answer.
+    curl_easy_setopt(easy_, CURLOPT_FRESH_CONNECT, !request_->idempotent && !has_body ? 1L : 0L);
+}
+
+bool transfer::set_headers() {
+    curl_slist_free_all(std::exchange(headers_, nullptr));
+    bool has_accept = false;
+    bool has_type = false;
+    for (const auto& it : request_->headers) {
+        if (is_set_here(it.name)) {
+            continue;
+        }
+        has_accept = has_accept || absl::EqualsIgnoreCase(it.name, "Accept");
+        has_type = has_type || absl::EqualsIgnoreCase(it.name, "Content-Type");
+        if (!add_header(it.name, it.value)) {
+            return false;
+        }
+    }
+    if (!add_header("Berylcrank-Request-Id", request_->request_id)) {
+        return false;
+    }
+    // A header name with nothing after the colon keeps libcurl from adding its own.
+    headers_ = curl_slist_append(headers_, "Expect:");
+    if (!has_accept) {
+        headers_ = curl_slist_append(headers_, "Accept:");
+    }
+    if (!has_type) {
+        headers_ = curl_slist_append(headers_, "Content-Type:");
+    }
+    curl_easy_setopt(easy_, CURLOPT_HTTPHEADER, headers_);
+    return true;
+}
+
+bool transfer::add_header(std::string_view name, std::string_view value) {
+    if (name.empty() || !is_one_line(name) || !is_one_line(value) ||
+        name.find_first_of(":; ") != std::string_view::npos) {
+        return false;
+    }
+    std::string line(name);
+    line += value.empty() ? ";" : ": "; // The semicolon is libcurl's form of a header without a value.
+    line += value;
+    headers_ = curl_slist_append(headers_, line.c_str());
+    return true;
+}
+
+void transfer::resume() {
+    if (std::exchange(is_paused_, false)) {
+        progress_ = steady::now();
+        curl_easy_pause(easy_, CURLPAUSE_CONT);
+    }
+}
+
+std::optional<attempt_end> transfer::overdue(steady::time_point now) const {
+    if (request_->timeout && now - started_ > request_->timeout->to_chrono()) {
+        return attempt_end::timed_out;
+    }
+    if (!is_paused_ && now - progress_ > request_->stall.to_chrono()) {
+        return attempt_end::stalled;
+    }
+    return std::nullopt;
+}
+
+attempt_result transfer::finish(CURLcode code, std::optional<attempt_end> forced) {
+    attempt_result it;
+    it.end = end_of(code);
+    if (forced && !end_ && !is_shed_) {
+        it.end = *forced;
+    }
+    it.verdict = verdict_of(it.end, is_sent_);
+    it.status = parser_.is_complete() ? parser_.head().status : 0;
+    it.body_bytes = body_received_;
+    it.connection = connection_;
+    it.total = millis::from_micros(
+        std::chrono::duration_cast<std::chrono::microseconds>(steady::now() - started_).count());
+    if (it.end == attempt_end::shed) {
+        it.shed = std::move(parser_.head());
+    }
+    return it;
+}
+
+attempt_end transfer::end_of(CURLcode code) const {
+    if (end_) {
+        return *end_;
+    }
+    if (is_shed_) {
+        return attempt_end::shed;
+    }
+    if (!is_sent_) {
+        return attempt_end::connect_failed;
+    }
+    switch (code) {
+    case CURLE_OK:
+        return parser_.is_complete() ? attempt_end::complete : attempt_end::malformed;
+    case CURLE_OPERATION_TIMEDOUT:
+        return attempt_end::timed_out;
+    case CURLE_WEIRD_SERVER_REPLY:
+    case CURLE_UNSUPPORTED_PROTOCOL:
+    case CURLE_OUT_OF_MEMORY: // libcurl's answer to a head above its own limit.
+        return attempt_end::malformed;
+    default:
+        return parser_.is_complete() ? attempt_end::truncated : attempt_end::reset;
+    }
+}
+
+size_t transfer::on_header(char* data, size_t size, size_t n, void* self) {
+    auto& it = *static_cast<transfer*>(self);
+    it.progress_ = steady::now();
+    switch (it.parser_.take({data, size * n})) {
+    case answer_parser::step::more:
+        return size * n;
+    case answer_parser::step::complete:
+        return it.take_head() ? size * n : 0;
+    case answer_parser::step::malformed:
+        break;
+    }
+    it.end_ = attempt_end::malformed;
+    return 0;
+}
+
+bool transfer::take_head() {
+    const auto& head = parser_.head();
+    const auto id = find_header(head.headers, "Berylcrank-Request-Id");
+    if (id != request_->request_id || count_headers(head.headers, "Berylcrank-Request-Id") != 1) {
+        end_ = attempt_end::wrong_id;
+        return false;
+    }
+    is_shed_ = head.status == 503 &&
+               find_header(head.headers, "Berylcrank-Verdict") == to_string(run_verdict::not_run);
+    if (!is_shed_ && !observer_->on_head(head, parser_.content_bytes())) {
+        end_ = attempt_end::cancelled;
+        return false;
+    }
+    return true;
+}
+
+size_t transfer::on_body(char* data, size_t size, size_t n, void* self) {
+    auto& it = *static_cast<transfer*>(self);
+    it.progress_ = steady::now();
+    const auto bytes = size * n;
+    if (it.is_shed_) {
+        it.shed_bytes_ += bytes;
+        return it.shed_bytes_ > max_shed_bytes ? 0 : bytes;
+    }
+    if (!it.observer_->on_body({data, bytes})) {
+        it.is_paused_ = true;
+        return CURL_WRITEFUNC_PAUSE;
+    }
+    it.body_received_ += bytes;
+    return bytes;
+}
+
+size_t transfer::on_read(char* out, size_t size, size_t n, void* self) {
+    auto& it = *static_cast<transfer*>(self);
+    it.progress_ = steady::now();
+    if (!it.request_->body) {
+        return 0;
+    }
+    const auto& body = *it.request_->body;
+    const auto part = std::min(size * n, body.size() - it.body_sent_);
+    body.copy(out, part, it.body_sent_);
+    it.body_sent_ += part;
+    return part;
+}
+
+int transfer::on_socket(void* self, curl_socket_t /*socket*/, curlsocktype /*purpose*/) {
+    static_cast<transfer*>(self)->connection_.is_new = true;
+    return CURL_SOCKOPT_OK;
+}
+
+int transfer::on_before_request(void* self, char* /*address*/, char* /*local_address*/, int /*port*/,
+                                int local_port) {
+    auto& it = *static_cast<transfer*>(self);
+    if (it.is_sent_) {
+        // libcurl is about to send the request again on another connection.
+        it.end_ = attempt_end::reset;
+        return CURL_PREREQFUNC_ABORT;
+    }
+    it.connection_.local_port = static_cast<std::uint16_t>(local_port);
+    if (!it.observer_->may_send(it.connection_)) {
+        it.end_ = attempt_end::denied;
+        return CURL_PREREQFUNC_ABORT;
+    }
+    it.progress_ = steady::now();
+    it.is_sent_ = true;
+    return CURL_PREREQFUNC_OK;
+}
+
+} // namespace berylcrank
--- a/modules/berylcrank_http/client/upstream_client.h
+++ b/modules/berylcrank_http/client/upstream_client.h
@@ -23,7 +23,7 @@
     std::shared_ptr<const std::string> body; ///< May be null.
     std::string request_id;                  ///< Sent as `Berylcrank-Request-Id`; the answer must echo it.
     std::optional<millis> timeout;           ///< Time for the whole attempt; none for downloads.
-    millis stall{10000};                     ///< Longest time without progress.
+    millis stall{10000};                     ///< Longest time without progress, but for refused `on_body`.
     bool idempotent{true};                   ///< False: never sent twice, not even by the HTTP library.
 };
 
@@ -44,7 +44,7 @@
     stalled,
     truncated, ///< The answer ended early.
     wrong_id,  ///< The answer carried no or another request id.
-    malformed, ///< Not an HTTP answer.
+    malformed, ///< Not an HTTP/1.1 answer, or one whose length is unknown or contradictory.
     cancelled, ///< Cancelled, or `on_head` refused the answer.
 };
 
@@ -56,6 +56,7 @@
     std::uint64_t body_bytes{0};  ///< Bytes of body given to `on_body`.
     connection_info connection{}; ///< The connection used, if any.
     millis total;                 ///< From start to end.
+    http_answer_head shed;        ///< Head of a shed answer, else empty.
 };
 
 /** Receives the events of one attempt on the client's thread for that upstream; must not block.
@@ -70,7 +71,8 @@
     virtual ~upstream_observer() = default;
 
     /** Asked after connecting, immediately before the first byte of the request; false abandons the attempt
-       with `attempt_end::denied`. Deadline, cancellation, order state and permits are checked here. */
+       with `attempt_end::denied`. Deadline, cancellation, order state and permits are checked here. Asked at
+       most once: if the HTTP library would send the request a second time, the attempt ends with `reset`. */
     virtual bool may_send(const connection_info& it) = 0;
 
     /** The head of an answer with the right request id that is not a shed answer; false cancels the attempt.
@@ -111,7 +113,9 @@
         unsigned threads{2};                  ///< Threads, each with its own connections.
         unsigned connections_per_upstream{8}; ///< Most connections to one upstream; further requests wait.
         millis connect_timeout{500};          ///< Time to connect.
-        millis reuse_within{2000}; ///< A connection idle for longer is not reused for non-idempotent work.
+        /** A connection idle for longer is not reused for non-idempotent work. libcurl counts whole seconds,
+            so it is rounded down to them and is at least 2 s. */
+        millis reuse_within{2000};
     };
 
     upstream_client() = default;
--- a/modules/berylcrank_http/server/http_server.h
+++ b/modules/berylcrank_http/server/http_server.h
@@ -12,7 +12,10 @@
 /** Serves HTTP/1.1 to callers with libmicrohttpd.
 
     Requests that are malformed, too large (413, 431) or sent too slowly (408) are refused before they reach
-   the handler, with `Berylcrank-Verdict: not-run`.
+   the handler, with `Berylcrank-Verdict: not-run`. Two cases get a bare 4xx status or a closed connection
+   instead, because libmicrohttpd answers them itself: a request line or header that it cannot parse, and a
+   body that is malformed or becomes too large or too slow half way. A caller that shuts down its sending side
+   counts as gone.
     @see http_handler, start_http_server
 */
 class http_server {
@@ -27,6 +30,16 @@
         millis idle{30000};                 ///< An idle or slow-sending connection is closed after this.
     };
 
+    /** Totals since the start. @see counted */
+    struct counters {
+        std::uint64_t requests{0};         ///< Given to the handler.
+        std::uint64_t body_too_large{0};   ///< Refused with 413.
+        std::uint64_t header_too_large{0}; ///< Refused with 431.
+        std::uint64_t malformed{0};        ///< Refused with 400 or another 4xx or 5xx status.
+        std::uint64_t too_slow{0};         ///< Not sent completely in time.
+        std::uint64_t gone{0};             ///< The caller left before its answer was complete.
+    };
+
     http_server() = default;
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
@@ -38,6 +51,9 @@
     /** Number of requests whose answer is not completely sent. */
     [[nodiscard]] virtual std::size_t open_exchanges() const = 0;
 
+    /** What was served and refused so far. */
+    [[nodiscard]] virtual counters counted() const = 0;
+
     /** Stops accepting connections and closes idle ones after their current answer. Requests in flight
      * finish. */
     virtual void stop_accepting() = 0;
--- /dev/null
+++ b/modules/berylcrank_http/server/mhd_server.cpp
@@ -0,0 +1,311 @@
+#include "modules/berylcrank_http/server/mhd_server.h"
+
+#include "modules/berylcrank_core/verdict/run_verdict.h"
+#include "modules/berylcrank_http/server/listen_socket.h"
+
+#include "absl/strings/numbers.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace berylcrank {
+
+namespace {
+
+using steady = std::chrono::steady_clock;
+
+std::string_view reason_of(unsigned status) {
+    switch (status) {
+    case MHD_HTTP_REQUEST_TIMEOUT:
+        return "request was sent too slowly\n";
+    case MHD_HTTP_CONTENT_TOO_LARGE:
+        return "request body is too large\n";
+    case MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE:
+        return "request header is too large\n";
+    case MHD_HTTP_HTTP_VERSION_NOT_SUPPORTED:
+        return "only HTTP/1.1 is served\n";
+    default:
+        return "Content-Length or Transfer-Encoding is malformed or repeated\n";
+    }
+}
+
+MHD_Result add_header(void* headers, enum MHD_ValueKind /*kind*/, const char* name, const char* value) {
+    static_cast<std::vector<http_header>*>(headers)->push_back(
+        {.name = name, .value = value == nullptr ? "" : value});
+    return MHD_YES;
+}
+
+} // namespace
+
+struct mhd_server::active_request {
+    MHD_Connection* connection{nullptr};
+    std::shared_ptr<mhd_exchange> exchange;
+    std::shared_ptr<peer_watch::peer> peer;
+    steady::time_point head_at;
+    std::size_t body_bytes{0};
+    bool has_head{false};
+    bool is_refused{false};
+    bool is_handled{false};
+};
+
+mhd_server::mhd_server(const options& it, http_handler& handler)
+    // libmicrohttpd closes an idle connection after `idle`; only one that keeps sending reaches twice that.
+    : options_(it), handler_(handler), watch_({.head_limit = it.idle * 2.0}) {}
+
+mhd_server::~mhd_server() {
+    if (daemon_ != nullptr) {
+        stop_accepting();
+        stopping_.store(true);
+        watch_.hang_up_all();
+        MHD_stop_daemon(daemon_);
+    }
+}
+
+bool mhd_server::start(int socket) {
+    address_ = bound_address(socket);
+    // Holds a header block of the allowed size, its parsed form and the head of the answer.
+    const std::size_t memory_bytes = std::max<std::size_t>(32768, options_.header_bytes * 2 + 16384);
+    const auto idle_s =
+        static_cast<unsigned>(std::max<std::int64_t>(1, (options_.idle.count() + 999) / 1000));
+    const MHD_OptionItem pool[] = {
+        {MHD_OPTION_THREAD_POOL_SIZE, static_cast<intptr_t>(options_.threads), nullptr},
+        {MHD_OPTION_END, 0, nullptr}};
+    const MHD_OptionItem none[] = {{MHD_OPTION_END, 0, nullptr}};
+    daemon_ = MHD_start_daemon(
+        MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC | MHD_USE_ERROR_LOG, 0,
+        nullptr, nullptr, &on_part, this, MHD_OPTION_EXTERNAL_LOGGER, &on_log, this, MHD_OPTION_LISTEN_SOCKET,
+        socket, MHD_OPTION_CONNECTION_MEMORY_LIMIT, memory_bytes, MHD_OPTION_CONNECTION_LIMIT,
+        options_.max_connections, MHD_OPTION_CONNECTION_TIMEOUT, idle_s, MHD_OPTION_URI_LOG_CALLBACK,
+        &on_first_line, this, MHD_OPTION_NOTIFY_COMPLETED, &on_completed, this, MHD_OPTION_NOTIFY_CONNECTION,
+        &on_connection, this, MHD_OPTION_ARRAY, options_.threads > 1 ? pool : none, MHD_OPTION_END);
+    return daemon_ != nullptr;
+}
+
+http_server::counters mhd_server::counted() const {
+    return {.requests = requests_.load(),
+            .body_too_large = body_too_large_.load(),
+            .header_too_large = header_too_large_.load(),
+            .malformed = malformed_.load(),
+            .too_slow = too_slow_.load() + watch_.too_slow(),
+            .gone = gone_.load()};
+}
+
+void mhd_server::stop_accepting() {
+    if (closing_.exchange(true)) {
+        return;
+    }
+    const int socket = MHD_quiesce_daemon(daemon_);
+    if (socket == MHD_INVALID_SOCKET) {
+        return;
+    }
+    // Connections that the kernel has completed are served too, or closing the socket would reset them.
+    for (;;) {
+        sockaddr_storage from{};
+        socklen_t n = sizeof(from);
+        const int fd = accept4(socket, reinterpret_cast<sockaddr*>(&from), &n, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (fd < 0) {
+            break;
+        }
+        MHD_add_connection(daemon_, fd, reinterpret_cast<sockaddr*>(&from), n);
+    }
+    close(socket);
+}
+
+void* mhd_server::on_first_line(void* self, const char* uri, MHD_Connection* connection) {
+    auto* const server = static_cast<mhd_server*>(self);
+    auto* const it = new active_request;
+    it->connection = connection;
+    it->exchange =
+        std::make_shared<mhd_exchange>(mhd_exchange::options{.connection = connection,
+                                                             .buffer_bytes = server->options_.buffer_bytes,
+                                                             .closing = &server->closing_,
+                                                             .stopping = &server->stopping_});
+    it->exchange->receiving().path = uri;
+    const auto* const info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+    it->peer = *static_cast<std::shared_ptr<peer_watch::peer>*>(info->socket_context);
+    return it;
+}
+
+MHD_Result mhd_server::on_part(void* self, MHD_Connection* /*connection*/, const char* /*url*/,
+                               const char* method, const char* version, const char* data, std::size_t* size,
+                               void** request) {
+    auto* const server = static_cast<mhd_server*>(self);
+    auto& it = *static_cast<active_request*>(*request);
+    if (!it.has_head) {
+        return server->take_head(it, method, version);
+    }
+    if (*size != 0) {
+        const auto n = std::exchange(*size, 0);
+        return server->take_body(it, {data, n});
+    }
+    return server->take_end(it);
+}
+
+MHD_Result mhd_server::take_head(active_request& it, const char* method, const char* version) {
+    it.has_head = true;
+    it.head_at = steady::now();
+    auto& request = it.exchange->receiving();
+    request.method = method;
+    MHD_get_connection_values(it.connection, MHD_HEADER_KIND, &add_header, &request.headers);
+    it.peer->begin(it.exchange);
+    const auto status = check_head(it, version);
+    return status == 0 ? MHD_YES : refuse(it, status);
+}
+
+unsigned mhd_server::check_head(active_request& it, std::string_view version) {
+    const auto& request = it.exchange->request();
+    const auto* const info = MHD_get_connection_info(it.connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
+    unsigned status = 0;
+    std::uint64_t length = 0;
+    const auto lengths = count_headers(request.headers, "Content-Length");
+    const auto codings = count_headers(request.headers, "Transfer-Encoding");
+    if (info != nullptr && info->header_size > options_.header_bytes) {
+        status = MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE;
+    } else if (lengths + codings > 1) {
+        status = MHD_HTTP_BAD_REQUEST;
+    } else if (lengths == 1) {
+        const auto text = *find_header(request.headers, "Content-Length");
+        const bool is_number =
+            !text.empty() && std::ranges::all_of(text, [](char c) { return c >= '0' && c <= '9'; });
+        if (!is_number || !absl::SimpleAtoi(absl::string_view{text.data(), text.size()}, &length)) {
+            status = MHD_HTTP_BAD_REQUEST;
+        } else if (length > options_.body_bytes) {
+            status = MHD_HTTP_CONTENT_TOO_LARGE;
+        }
+    }
+    if (status == 0 && version != MHD_HTTP_VERSION_1_1) {
+        status = MHD_HTTP_HTTP_VERSION_NOT_SUPPORTED;
+    }
+    it.is_refused = status != 0;
+    it.exchange->receiving().body.reserve(it.is_refused ? 0 : static_cast<std::size_t>(length));
+    return status;
+}
+
+MHD_Result mhd_server::take_body(active_request& it, std::span<const char> bytes) {
+    it.body_bytes += bytes.size();
+    if (steady::now() - it.head_at > options_.idle.to_chrono()) {
+        too_slow_.fetch_add(1);
+        it.is_refused = true;
+        return MHD_NO;
+    }
+    // The library sends no answer before the end of a body, so a little more is read and thrown away.
+    if (it.body_bytes > options_.body_bytes * 2) {
+        body_too_large_.fetch_add(1);
+        it.is_refused = true;
+        return MHD_NO;
+    }
+    if (it.body_bytes <= options_.body_bytes) {
+        it.exchange->receiving().body.append(bytes.data(), bytes.size());
+    }
+    return MHD_YES;
+}
+
+MHD_Result mhd_server::take_end(active_request& it) {
+    if (it.is_refused) {
+        return MHD_YES;
+    }
+    if (it.body_bytes > options_.body_bytes) {
+        it.is_refused = true;
+        return refuse(it, MHD_HTTP_CONTENT_TOO_LARGE);
+    }
+    if (!it.is_handled) {
+        it.is_handled = true;
+        requests_.fetch_add(1);
+        open_.fetch_add(1);
+        handler_.handle(it.exchange);
+    }
+    return it.exchange->proceed();
+}
+
+MHD_Result mhd_server::refuse(const active_request& it, unsigned status) {
+    count_refusal(status);
+    const auto reason = reason_of(status);
+    auto* const response = MHD_create_response_from_buffer(reason.size(), const_cast<char*>(reason.data()),
+                                                           MHD_RESPMEM_PERSISTENT);
+    const auto verdict = std::string(to_string(run_verdict::not_run));
+    MHD_add_response_header(response, "Berylcrank-Verdict", verdict.c_str());
+    MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
+    const auto result = MHD_queue_response(it.connection, status, response);
+    MHD_destroy_response(response);
+    return result;
+}
+
+void mhd_server::count_refusal(unsigned status) {
+    if (status == MHD_HTTP_CONTENT_TOO_LARGE) {
+        body_too_large_.fetch_add(1);
+    } else if (status == MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE || status == MHD_HTTP_URI_TOO_LONG) {
+        header_too_large_.fetch_add(1);
+    } else {
+        malformed_.fetch_add(1);
+    }
+}
+
+void mhd_server::on_completed(void* self, MHD_Connection* /*connection*/, void** request,
+                              MHD_RequestTerminationCode code) {
+    auto* const server = static_cast<mhd_server*>(self);
+    const std::unique_ptr<active_request> it(static_cast<active_request*>(*request));
+    *request = nullptr;
+    if (it == nullptr) {
+        return;
+    }
+    if (code == MHD_REQUEST_TERMINATED_COMPLETED_OK) {
+        it->exchange->mark_complete();
+    } else {
+        it->exchange->mark_gone();
+        if (it->is_handled) {
+            server->gone_.fetch_add(1);
+        } else if (code == MHD_REQUEST_TERMINATED_TIMEOUT_REACHED && !it->is_refused) {
+            server->too_slow_.fetch_add(1);
+        }
+    }
+    it->peer->end();
+    if (it->is_handled) {
+        server->open_.fetch_sub(1);
+    }
+}
+
+void mhd_server::on_connection(void* self, MHD_Connection* connection, void** peer,
+                               MHD_ConnectionNotificationCode code) {
+    auto* const server = static_cast<mhd_server*>(self);
+    using held = std::shared_ptr<peer_watch::peer>;
+    if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+        const auto* const info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+        *peer = new held(server->watch_.add(info->connect_fd));
+    } else {
+        const std::unique_ptr<held> it(static_cast<held*>(*peer));
+        *peer = nullptr;
+        server->watch_.remove((*it)->id());
+    }
+}
+
+void mhd_server::on_log(void* self, const char* format, std::va_list values) noexcept {
+    // The library reports the requests that it refuses itself only in its log.
+    constexpr std::string_view marker = "response code is ";
+    char line[512];
+    const int n = std::vsnprintf(line, sizeof(line), format, values);
+    const std::string_view text(line, std::clamp<int>(n, 0, sizeof(line) - 1));
+    const auto at = text.find(marker);
+    unsigned status = 0;
+    if (at != std::string_view::npos) {
+        const auto digits = text.substr(at + marker.size(), 3);
+        if (absl::SimpleAtoi(absl::string_view{digits.data(), digits.size()}, &status)) {
+            static_cast<mhd_server*>(self)->count_refusal(status);
+        }
+    }
+}
+
+boost::leaf::result<std::unique_ptr<http_server>> start_http_server(const http_server::options& it,
+                                                                    http_handler& handler) {
+    BOOST_LEAF_AUTO(socket, open_listen_socket(it.address));
+    auto server = std::make_unique<mhd_server>(it, handler);
+    if (!server->start(socket)) {
+        close(socket);
+        return boost::leaf::new_error("cannot start serving threads on " + it.address);
+    }
+    return std::unique_ptr<http_server>(std::move(server));
+}
+
+} // namespace berylcrank
--- /dev/null
+++ b/modules/berylcrank_http/server/mhd_server.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "modules/berylcrank_http/server/http_server.h"
+#include "modules/berylcrank_http/server/mhd_exchange.h"
+#include "modules/berylcrank_http/server/peer_watch.h"
+
+#include <atomic>
+#include <cstdarg>
+#include <optional>
+
+namespace berylcrank {
+
+/** The server on a pool of libmicrohttpd threads with epoll.
+
+    @see start_http_server, mhd_exchange, peer_watch
+*/
+class mhd_server final : public http_server {
+public:
+    mhd_server(const options& it, http_handler& handler);
+    ~mhd_server() override;
+    mhd_server(const mhd_server&) = delete;
+    mhd_server& operator=(const mhd_server&) = delete;
+
+    /** Serves the listening socket, which is closed at the end; false if the library cannot start. */
+    bool start(int socket);
+
+    [[nodiscard]] std::string address() const override { return address_; }
+    [[nodiscard]] std::size_t open_exchanges() const override { return open_.load(); }
+    [[nodiscard]] counters counted() const override;
+    void stop_accepting() override;
+
+private:
+    struct active_request; ///< One request on a connection, from its first line to its end.
+
+    static void* on_first_line(void* self, const char* uri, MHD_Connection* connection);
+    static MHD_Result on_part(void* self, MHD_Connection* connection, const char* url, const char* method,
+                              const char* version, const char* data, std::size_t* size, void** request);
+    static void on_completed(void* self, MHD_Connection* connection, void** request,
+                             MHD_RequestTerminationCode code);
+    static void on_connection(void* self, MHD_Connection* connection, void** peer,
+                              MHD_ConnectionNotificationCode code);
+    static void on_log(void* self, const char* format, std::va_list values) noexcept;
+
+    MHD_Result take_head(active_request& it, const char* method, const char* version);
+    MHD_Result take_body(active_request& it, std::span<const char> bytes);
+    MHD_Result take_end(active_request& it);
+    unsigned check_head(active_request& it, std::string_view version);
+    MHD_Result refuse(const active_request& it, unsigned status);
+    void count_refusal(unsigned status);
+
+    options options_;
+    http_handler& handler_;
+    std::string address_;
+    MHD_Daemon* daemon_{nullptr};
+    std::atomic<bool> closing_{false};
+    std::atomic<bool> stopping_{false};
+    std::atomic<std::size_t> open_{0};
+    std::atomic<std::uint64_t> requests_{0};
+    std::atomic<std::uint64_t> body_too_large_{0};
+    std::atomic<std::uint64_t> header_too_large_{0};
+    std::atomic<std::uint64_t> malformed_{0};
+    std::atomic<std::uint64_t> too_slow_{0};
+    std::atomic<std::uint64_t> gone_{0};
+    peer_watch watch_;
+};
+
+} // namespace berylcrank
--- /dev/null
+++ b/modules/berylcrank_http/server/peer_watch.cpp
@@ -0,0 +1,138 @@
+#include "modules/berylcrank_http/server/peer_watch.h"
+
+#include <algorithm>
+#include <array>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <utility>
+#include <vector>
+
+namespace berylcrank {
+
+namespace {
+
+constexpr std::uint64_t stop_id = 0;
+
+} // namespace
+
+void peer_watch::peer::begin(const std::shared_ptr<mhd_exchange>& it) {
+    bool left = false;
+    {
+        const lock_guard hold(mutex_);
+        current_ = it;
+        left = hung_up_;
+    }
+    if (left) {
+        it->mark_gone();
+    }
+}
+
+void peer_watch::peer::end() {
+    std::shared_ptr<mhd_exchange> dropped; // Destroyed without the lock held.
+    const lock_guard hold(mutex_);
+    dropped = std::exchange(current_, nullptr);
+    idle_since_ = std::chrono::steady_clock::now();
+}
+
+void peer_watch::peer::hang_up() {
+    std::shared_ptr<mhd_exchange> it;
+    {
+        const lock_guard hold(mutex_);
+        hung_up_ = true;
+        it = current_;
+    }
+    if (it) {
+        it->mark_gone();
+    }
+}
+
+peer_watch::peer_watch(const options& it)
+    : options_(it), epoll_(epoll_create1(EPOLL_CLOEXEC)), stop_event_(eventfd(0, EFD_CLOEXEC)) {
+    epoll_event event{.events = EPOLLIN, .data = {.u64 = stop_id}};
+    epoll_ctl(epoll_, EPOLL_CTL_ADD, stop_event_, &event);
+    thread_ = std::thread([this] { run(); });
+}
+
+peer_watch::~peer_watch() {
+    eventfd_write(stop_event_, 1);
+    thread_.join();
+    close(stop_event_);
+    close(epoll_);
+}
+
+std::shared_ptr<peer_watch::peer> peer_watch::add(int socket) {
+    std::shared_ptr<peer> it;
+    {
+        const lock_guard hold(mutex_);
+        it = std::make_shared<peer>(socket, ++last_id_);
+        peers_.emplace(it->id(), it);
+    }
+    epoll_event event{.events = EPOLLRDHUP | EPOLLET, .data = {.u64 = it->id()}};
+    epoll_ctl(epoll_, EPOLL_CTL_ADD, socket, &event);
+    return it;
+}
+
+void peer_watch::remove(std::uint64_t id) {
+    const lock_guard hold(mutex_);
+    if (const auto it = peers_.find(id); it != peers_.end()) {
+        epoll_ctl(epoll_, EPOLL_CTL_DEL, it->second->socket_, nullptr);
+        peers_.erase(it);
+    }
+}
+
+void peer_watch::hang_up_all() {
+    std::vector<std::shared_ptr<peer>> all;
+    {
+        const lock_guard hold(mutex_);
+        for (const auto& [id, it] : peers_) {
+            all.push_back(it);
+        }
+    }
+    for (const auto& it : all) {
+        it->hang_up();
+    }
+}
+
+void peer_watch::run() {
+    std::array<epoll_event, 64> events{};
+    const auto step = static_cast<int>(std::clamp<std::int64_t>(options_.head_limit.count() / 8, 10, 1000));
+    auto next_check = std::chrono::steady_clock::now();
+    for (;;) {
+        const int n = epoll_wait(epoll_, events.data(), events.size(), step);
+        for (int i = 0; i < n; ++i) {
+            if (events[i].data.u64 == stop_id) {
+                return;
+            }
+            if (const auto it = find(events[i].data.u64)) {
+                it->hang_up();
+            }
+        }
+        if (const auto now = std::chrono::steady_clock::now(); now >= next_check) {
+            close_slow();
+            next_check = now + std::chrono::milliseconds(step);
+        }
+    }
+}
+
+void peer_watch::close_slow() {
+    const auto limit = std::chrono::steady_clock::now() - options_.head_limit.to_chrono();
+    // The lock keeps `remove` waiting, so no socket number is closed and used again meanwhile.
+    const lock_guard hold(mutex_);
+    for (const auto& [id, it] : peers_) {
+        const lock_guard hold_peer(it->mutex_);
+        if (!it->current_ && it->idle_since_ < limit && !std::exchange(it->hung_up_, true)) {
+            too_slow_.fetch_add(1);
+            shutdown(it->socket_, SHUT_RDWR);
+        }
+    }
+}
+
+std::shared_ptr<peer_watch::peer> peer_watch::find(std::uint64_t id) {
+    const lock_guard hold(mutex_);
+    const auto it = peers_.find(id);
+    return it == peers_.end() ? nullptr : it->second;
+}
+
+} // namespace berylcrank
