Add routing core: policy, limits, queue, budgets, outliers, probes, service router

Cause: the router of a node needs one facade per service that chooses an upstream, queues or refuses. Ruled out: a lock per upstream (a choice reads many of them), a predicate for cold admission called under the lock (it would call foreign code there); a gate per upstream with permits on stock is used instead. Change: upstream_policy with five baselines and the estimated-load policy, upstream statistics, subsets, adaptive limits, admission queue, retry and hedge budgets, outlier detector, probe budget, service_router. The linter reported the defaulted comparisons of instant and millis (modernize-use-nullptr, a false report); they are marked. Conclusion: the interfaces can be built on. Builds; core_test green; tests of this module follow.

--- a/modules/berylcrank_core/time/instant.h
+++ b/modules/berylcrank_core/time/instant.h
@@ -21,7 +21,7 @@
     /** A point that no clock reaches. */
     static constexpr instant never() { return instant{millis::from_micros(INT64_MAX / 4)}; }
 
-    constexpr auto operator<=>(const instant&) const = default;
+    constexpr auto operator<=>(const instant&) const = default; // NOLINT(modernize-use-nullptr): false report
     constexpr instant operator+(millis other) const { return instant{since_start_ + other}; }
     constexpr instant operator-(millis other) const { return instant{since_start_ - other}; }
     constexpr millis operator-(instant other) const { return since_start_ - other.since_start_; }
--- a/modules/berylcrank_core/time/millis.h
+++ b/modules/berylcrank_core/time/millis.h
@@ -43,7 +43,7 @@
         return std::chrono::microseconds{micros_};
     }
 
-    constexpr auto operator<=>(const millis&) const = default;
+    constexpr auto operator<=>(const millis&) const = default; // NOLINT(modernize-use-nullptr): false report
     constexpr millis operator+(millis other) const { return from_micros(micros_ + other.micros_); }
     constexpr millis operator-(millis other) const { return from_micros(micros_ - other.micros_); }
     constexpr millis operator*(double factor) const {
--- /dev/null
+++ b/modules/berylcrank_routing/limits/adaptive_limit.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "modules/berylcrank_core/time/instant.h"
+
+#include <cstdint>
+
+namespace berylcrank {
+
+/** A concurrency limit that follows what the other side bears: additive increase, multiplicative decrease.
+
+    Every `window` it compares the mean latency with the lowest mean seen lately. Overload or sheds lower the
+    limit; a window in which the limit was reached without overload raises it.
+    @see service_router
+*/
+class adaptive_limit {
+public:
+    struct options {
+        double initial{4};
+        double least{1}; ///< At least 1.
+        double most{64};
+        millis window{50};
+        double overload_ratio{3}; ///< Mean latency over the baseline that counts as overload.
+        double decrease{0.8};
+        double increase{1};
+    };
+
+    explicit adaptive_limit(const options& it);
+
+    /** A request was sent while `in_flight` were, itself included. */
+    void on_dispatch(std::uint32_t in_flight);
+
+    /** A good answer. */
+    void on_answer(millis latency, instant now);
+
+    /** A shed answer or a timeout: sign of overload. */
+    void on_overload(instant now);
+
+    /** Changes the bound and scales the limit with it, e.g. because upstreams came or went. */
+    void set_most(double most);
+
+    /** Current limit, in [least, most]. */
+    [[nodiscard]] double limit() const { return limit_; }
+
+    /** True if one more request may be sent. */
+    [[nodiscard]] bool allows(std::uint32_t in_flight) const { return in_flight + 1 <= limit_; }
+
+private:
+    void close_window(instant now);
+
+    options options_;
+    double limit_;
+    instant window_end_;
+    double sum_ms_{0};
+    std::uint32_t answers_{0};
+    std::uint32_t overloads_{0};
+    bool was_reached_{false};
+    double baseline_ms_{0};
+};
+
+} // namespace berylcrank
--- /dev/null
+++ b/modules/berylcrank_routing/probe/probe_budget.cpp
@@ -0,0 +1,46 @@
+#include "modules/berylcrank_routing/probe/probe_budget.h"
+
+#include <algorithm>
+
+namespace berylcrank {
+
+probe_budget::probe_budget(const options& it, random_source& random, instant now)
+    : options_(it), started_(now) {
+    next_ = now + interval(options_.cost) * (1.0 + random.unit());
+}
+
+millis probe_budget::interval(millis cost) const {
+    if (options_.percent <= 0) {
+        return instant::never().since_start();
+    }
+    return cost * (100.0 / options_.percent * std::max(1U, options_.max_nodes));
+}
+
+bool probe_budget::try_start(instant now) {
+    if (!is_due(now)) {
+        return false;
+    }
+    is_running_ = true;
+    started_ = now;
+    next_ = now + interval(options_.cost);
+    charged_ += options_.cost;
+    return true;
+}
+
+void probe_budget::on_done(millis took) {
+    is_running_ = false;
+    if (took > options_.cost) {
+        next_ = started_ + interval(took);
+        charged_ += took - options_.cost;
+    }
+}
+
+void probe_budget::set_percent(double percent, instant now) {
+    if (percent == options_.percent) {
+        return;
+    }
+    options_.percent = percent;
+    next_ = std::max(next_ >= instant::never() ? now : next_, now + interval(options_.cost));
+}
+
+} // namespace berylcrank
