Use one record type for admission group holders

Cause: configuration and cold admission each defined group_count, group_of with another hash, and a group_assignment type in the same namespace; a program with both breaks the one definition rule. Ruled out: separate namespaces, since the two group_of functions disagreed on the group of an upstream. Change: group_record in berylcrank_config is the only definition; records and state carry whether the holder before had stopped, which the new holder needs to skip its wait. Before: two hashes for one group. Conclusion: the log format has one source.

--- a/modules/berylcrank_config/state/config_state.cpp
+++ b/modules/berylcrank_config/state/config_state.cpp
@@ -21,7 +21,7 @@
         ++counters_.snapshot_parts;
         take_part(*part, offset);
         out = apply_result::snapshot;
-    } else if (const auto* list = std::get_if<std::vector<group_assignment>>(&decoded)) {
+    } else if (const auto* list = std::get_if<std::vector<group_record>>(&decoded)) {
         out = apply_assignments(*list, offset);
     } else {
         ++counters_.malformed;
@@ -80,8 +80,7 @@
     return outcome.accepted ? apply_result::accepted : apply_result::rejected;
 }
 
-apply_result config_state::apply_assignments(const std::vector<group_assignment>& list,
-                                             std::uint64_t offset) {
+apply_result config_state::apply_assignments(const std::vector<group_record>& list, std::uint64_t offset) {
     auto out = apply_result::ignored;
     for (const auto& it : list) {
         if (content_.holders.apply(it, offset)) {
--- a/modules/berylcrank_config/state/config_state.h
+++ b/modules/berylcrank_config/state/config_state.h
@@ -78,7 +78,7 @@
 
 private:
     apply_result apply_ticket(const ticket_record& it, std::uint64_t offset);
-    apply_result apply_assignments(const std::vector<group_assignment>& list, std::uint64_t offset);
+    apply_result apply_assignments(const std::vector<group_record>& list, std::uint64_t offset);
     bool take_part(const snapshot_part& part, std::uint64_t offset);
     void refresh_view();
 
--- a/modules/berylcrank_config/state/group_holders.cpp
+++ b/modules/berylcrank_config/state/group_holders.cpp
@@ -4,16 +4,17 @@
 
 namespace berylcrank {
 
-std::size_t group_of(std::string_view upstream) {
-    return XXH3_64bits(upstream.data(), upstream.size()) % group_count;
+std::uint32_t group_of(std::string_view upstream) {
+    return static_cast<std::uint32_t>(XXH3_64bits(upstream.data(), upstream.size()) % group_count);
 }
 
-bool group_holders::apply(const group_assignment& it, std::uint64_t offset) {
+bool group_holders::apply(const group_record& it, std::uint64_t offset) {
     auto& current = holders_.at(it.group);
     if (current.holder != it.replaces) {
         return false;
     }
-    current = {it.holder, offset};
+    current = {
+        .holder = it.holder, .offset = offset, .is_hand_over = it.is_hand_over || !it.replaces.is_set()};
     return true;
 }
 
--- a/modules/berylcrank_config/state/group_holders.h
+++ b/modules/berylcrank_config/state/group_holders.h
@@ -1,32 +1,17 @@
 #pragma once
 
-#include "modules/berylcrank_core/identity/incarnation.h"
+#include "modules/berylcrank_config/state/group_record.h"
 
 #include <array>
 #include <cstdint>
-#include <string_view>
 
 namespace berylcrank {
 
-/** Number of admission groups. */
-inline constexpr std::size_t group_count = 64;
-
-/** Group of an upstream, from a hash of its name that is the same on every node. */
-std::size_t group_of(std::string_view upstream);
-
-/** One request to make a node the holder of a group. @see group_holders */
-struct group_assignment {
-    std::uint16_t group{0};
-    incarnation holder;   ///< Becomes the holder.
-    incarnation replaces; ///< The holder that it replaces; unset if there is none.
-
-    bool operator==(const group_assignment&) const = default;
-};
-
 /** Holder of one group. */
 struct group_holder {
-    incarnation holder;      ///< Unset: none.
-    std::uint64_t offset{0}; ///< Log offset of the assignment.
+    incarnation holder;       ///< Unset: none.
+    std::uint64_t offset{0};  ///< Log offset of the assignment.
+    bool is_hand_over{false}; ///< The holder before had stopped issuing, or there was none.
 
     bool operator==(const group_holder&) const = default;
 };
@@ -35,7 +20,7 @@
 class group_holders {
 public:
     /** Applies one assignment; false if it lost against another one. */
-    bool apply(const group_assignment& it, std::uint64_t offset);
+    bool apply(const group_record& it, std::uint64_t offset);
 
     /** Keeps the later assignment of each group. */
     void merge(const group_holders& other);
--- a/modules/berylcrank_config/state/record_codec.cpp
+++ b/modules/berylcrank_config/state/record_codec.cpp
@@ -29,14 +29,15 @@
 }
 
 decoded_record read_assignments(capnp::List<schema::Assignment>::Reader list) {
-    std::vector<group_assignment> out;
+    std::vector<group_record> out;
     for (const auto it : list) {
         if (it.getGroup() >= group_count || it.getHolder() == 0) {
             return malformed_record{"assignment of a group that does not exist, or to no node"};
         }
         out.push_back({.group = it.getGroup(),
                        .holder = incarnation{it.getHolder()},
-                       .replaces = incarnation{it.getReplaces()}});
+                       .replaces = incarnation{it.getReplaces()},
+                       .is_hand_over = it.getIsHandOver()});
     }
     return out;
 }
@@ -49,13 +50,14 @@
     return write_message(message, message_form::packed);
 }
 
-std::string encode_assignments(std::span<const group_assignment> it) {
+std::string encode_assignments(std::span<const group_record> it) {
     capnp::MallocMessageBuilder message;
     auto list = message.initRoot<schema::LogRecord>().initAssignments(static_cast<unsigned>(it.size()));
     for (unsigned i = 0; i < list.size(); ++i) {
-        list[i].setGroup(it[i].group);
+        list[i].setGroup(static_cast<std::uint16_t>(it[i].group));
         list[i].setHolder(it[i].holder.value);
         list[i].setReplaces(it[i].replaces.value);
+        list[i].setIsHandOver(it[i].is_hand_over);
     }
     return write_message(message, message_form::packed);
 }
--- a/modules/berylcrank_config/state/state_codec.cpp
+++ b/modules/berylcrank_config/state/state_codec.cpp
@@ -65,6 +65,7 @@
         list[i].setGroup(chosen[i]);
         list[i].setHolder(it.holders.of(chosen[i]).holder.value);
         list[i].setOffset(it.holders.of(chosen[i]).offset);
+        list[i].setIsHandOver(it.holders.of(chosen[i]).is_hand_over);
     }
 }
 
@@ -144,7 +145,9 @@
         if (holder.getGroup() >= group_count) {
             return false;
         }
-        out.holders.merge(holder.getGroup(), {incarnation{holder.getHolder()}, holder.getOffset()});
+        out.holders.merge(holder.getGroup(), {.holder = incarnation{holder.getHolder()},
+                                              .offset = holder.getOffset(),
+                                              .is_hand_over = holder.getIsHandOver()});
     }
     out.dropped_end = it.getDroppedEnd();
     return true;
--- a/modules/berylcrank_routing/cold/cold_gate.h
+++ b/modules/berylcrank_routing/cold/cold_gate.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "modules/berylcrank_config/state/group_record.h"
 #include "modules/berylcrank_core/random/random_source.h"
 #include "modules/berylcrank_core/sync/mutex.h"
 #include "modules/berylcrank_routing/cold/cold_attempt.h"
-#include "modules/berylcrank_routing/cold/group_of.h"
 #include "modules/berylcrank_routing/cold/string_map.h"
 #include "modules/berylcrank_routing/cold/upstream_trust.h"
 
--- a/modules/berylcrank_routing/cold/group_assignment.h
+++ b/modules/berylcrank_routing/cold/group_assignment.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "modules/berylcrank_config/state/group_record.h"
 #include "modules/berylcrank_core/identity/incarnation.h"
 #include "modules/berylcrank_core/random/random_source.h"
 #include "modules/berylcrank_core/time/instant.h"
-#include "modules/berylcrank_routing/cold/group_of.h"
 
 #include <array>
 #include <functional>
@@ -13,17 +13,6 @@
 
 namespace berylcrank {
 
-/** Content of an `assign` record of the log. The first record whose `replaces` equals the holder in force
-    wins. @see group_assignment */
-struct group_record {
-    std::uint32_t group{0};
-    incarnation holder;
-    incarnation replaces;     ///< Unset: the group has no holder.
-    bool is_hand_over{false}; ///< Written by the holder itself after it stopped issuing.
-
-    bool operator==(const group_record&) const = default;
-};
-
 /** Decides when a node proposes itself as holder of an admission group. Not thread-safe; owned by the control
     thread.
 
--- a/modules/berylcrank_routing/cold/permit_issuer.h
+++ b/modules/berylcrank_routing/cold/permit_issuer.h
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "modules/berylcrank_config/state/group_record.h"
 #include "modules/berylcrank_core/identity/incarnation.h"
 #include "modules/berylcrank_core/sync/mutex.h"
 #include "modules/berylcrank_core/time/instant.h"
 #include "modules/berylcrank_core/verdict/request_class.h"
 #include "modules/berylcrank_membership/message/gossip_message.h"
 #include "modules/berylcrank_routing/cold/cold_limits.h"
-#include "modules/berylcrank_routing/cold/group_of.h"
 #include "modules/berylcrank_routing/cold/permit.h"
 #include "modules/berylcrank_routing/cold/string_map.h"
 #include "modules/berylcrank_routing/cold/warm_count.h"
--- a/schema/record.capnp
+++ b/schema/record.capnp
@@ -11,6 +11,8 @@
   # Incarnation that becomes the holder.
   replaces @2 :UInt64;
   # Holder that this assignment replaces; 0: none. It is ignored if another one holds the group by then.
+  isHandOver @3 :Bool;
+  # Written by the replaced holder itself after it stopped issuing permits.
 }
 
 struct SnapshotPart {
@@ -62,6 +64,7 @@
   group @0 :UInt16;
   holder @1 :UInt64;
   offset @2 :UInt64;
+  isHandOver @3 :Bool;
 }
 
 struct ConfigState {
