--- a/modules/berylcrank_node/request/attempt_router.h
+++ b/modules/berylcrank_node/request/attempt_router.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -47,6 +48,10 @@
     /** IP address and port of the upstream. */
     [[nodiscard]] virtual const std::string& address() const = 0;
 
+    /** Time from now in which the attempt must have ended, also at the upstream; nothing if the upstream is
+       known to be warm. The attempt's timeout and its `Berylcrank-Timeout-Ms` must not be longer. */
+    [[nodiscard]] virtual std::optional<millis> run_limit() const { return std::nullopt; }
+
     /** Checked in `upstream_observer::may_send`, with deadline and cancellation by the flow itself. */
     virtual bool may_send(const connection_info& it) = 0;
 
--- /dev/null
+++ b/modules/berylcrank_node/request/routed_target.cpp
@@ -0,0 +1,132 @@
+#include "modules/berylcrank_node/request/routed_target.h"
+
+#include <utility>
+
+namespace berylcrank {
+
+namespace {
+
+constexpr int first_server_error = 500;
+
+// Left of a permit's time for connecting and for the check before the first byte.
+constexpr millis permit_spare{100};
+
+// Stands for the incarnation of upstreams that name none; their restarts are seen only by connections that
+// end.
+constexpr std::string_view unnamed_incarnation = "unnamed";
+
+attempt_outcome outcome_of(const attempt_result& it) {
+    switch (it.end) {
+    case attempt_end::complete:
+        return it.status >= first_server_error ? attempt_outcome::error : attempt_outcome::good;
+    case attempt_end::shed:
+        return attempt_outcome::shed;
+    case attempt_end::connect_failed:
+        return attempt_outcome::connect_failed;
+    case attempt_end::timed_out:
+    case attempt_end::stalled:
+        return attempt_outcome::timed_out;
+    case attempt_end::denied:
+    case attempt_end::cancelled:
+        return attempt_outcome::unused;
+    case attempt_end::reset:
+    case attempt_end::truncated:
+    case attempt_end::wrong_id:
+    case attempt_end::malformed:
+        return attempt_outcome::lost;
+    }
+    return attempt_outcome::lost;
+}
+
+cold_end cold_end_of(const attempt_result& it) {
+    switch (it.end) {
+    case attempt_end::complete:
+        return it.status >= first_server_error ? cold_end::answered : cold_end::good;
+    case attempt_end::shed:
+        return cold_end::answered;
+    case attempt_end::connect_failed:
+    case attempt_end::denied:
+        return cold_end::not_sent;
+    case attempt_end::reset:
+    case attempt_end::truncated:
+        return cold_end::connection_lost;
+    case attempt_end::timed_out:
+    case attempt_end::stalled:
+    case attempt_end::cancelled:
+    case attempt_end::wrong_id:
+    case attempt_end::malformed:
+        return cold_end::abandoned;
+    }
+    return cold_end::abandoned;
+}
+
+} // namespace
+
+routed_target::routed_target(const routing_parts& parts, std::shared_ptr<service_entry> service,
+                             route_grant grant, cold_attempt cold)
+    : parts_(parts), service_(std::move(service)), grant_(std::move(grant)), cold_(std::move(cold)) {
+    if (cold_.permit()) {
+        auto permit = *cold_.permit();
+        const auto limit = permit.run_limit(parts_.time.now(), permit_spare);
+        cold_.use(std::move(permit), limit);
+    }
+}
+
+routed_target::~routed_target() {
+    release(attempt_outcome::unused, cold_end::not_sent);
+}
+
+std::optional<millis> routed_target::run_limit() const {
+    if (!cold_.permit()) {
+        return std::nullopt;
+    }
+    return cold_.permit()->run_limit(parts_.time.now(), permit_spare);
+}
+
+bool routed_target::may_send(const connection_info& it) {
+    const auto now = parts_.time.now();
+    return parts_.work.is_open(now) && parts_.gate.may_send(cold_, it.local_port, it.is_new, now);
+}
+
+void routed_target::report_load(std::string_view header) {
+    const auto load = parse_load_header(header);
+    const auto named = load.incarnation.empty() ? unnamed_incarnation : std::string_view(load.incarnation);
+    if (const auto it = parts_.gate.on_head(cold_, named, load.is_cold)) {
+        parts_.permits.release(*it);
+    }
+    const auto now = parts_.time.now();
+    if (load.report) {
+        service_->router.report_load(grant_, *load.report, now);
+    }
+    if (load.is_draining) {
+        service_->router.set_gate(upstream(), {.is = upstream_gate::state::closed}, now);
+    }
+}
+
+void routed_target::finish(const attempt_result& it) {
+    service_->metrics.attempt(it.end).Increment();
+    release(outcome_of(it), cold_end_of(it));
+}
+
+void routed_target::release(attempt_outcome outcome, cold_end end) {
+    if (std::exchange(is_released_, true)) {
+        return;
+    }
+    const bool was_permitted = cold_.is_permitted();
+    if (const auto it = parts_.gate.finish(cold_, end)) {
+        parts_.permits.release(*it);
+    }
+    if (was_permitted || end == cold_end::connection_lost || end == cold_end::not_sent) {
+        update_gate();
+    }
+    service_->router.release(grant_, outcome, parts_.time.now());
+}
+
+void routed_target::update_gate() {
+    const bool is_open = parts_.gate.verified(upstream()) > 0;
+    service_->router.set_gate(upstream(),
+                              {.is = is_open ? upstream_gate::state::open : upstream_gate::state::by_permit},
+                              parts_.time.now());
+}
+
+} // namespace berylcrank
--- /dev/null
+++ b/modules/berylcrank_node/request/service_table.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "modules/berylcrank_config/state/config_view.h"
+#include "modules/berylcrank_core/sync/mutex.h"
+#include "modules/berylcrank_node/metrics/node_metrics.h"
+#include "modules/berylcrank_routing/cold/cold_gate.h"
+#include "modules/berylcrank_routing/service/service_router.h"
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace berylcrank {
+
+/** What a node keeps for one service in force. @see service_table */
+struct service_entry {
+    service_entry(const service_config& it, const service_router::options& options, service_metrics& counts)
+        : config(std::make_shared<const service_config>(it)), router(it, options), metrics(counts) {}
+
+    /** The configuration in force. */
+    [[nodiscard]] std::shared_ptr<const service_config> get_config() const {
+        const lock_guard hold(lock);
+        return config;
+    }
+
+    void set_config(std::shared_ptr<const service_config> it) {
+        const lock_guard hold(lock);
+        config = std::move(it);
+    }
+
+    mutable mutex lock;
+    std::shared_ptr<const service_config> config ABSL_GUARDED_BY(lock);
+    service_router router;
+    service_metrics& metrics;
+    std::atomic<bool> has_domain_out{false};      ///< One of its failure domains is out of use.
+    std::atomic<std::int64_t> domain_back_ms{-1}; ///< When the last one returned; -1: never.
+
+    /** True while a failure domain is out and for a minute after its return. */
+    [[nodiscard]] bool is_in_domain_change(instant now) const;
+};
+
+/** The services in force at a node. Lookups copy one pointer under a lock; updates build a new table.
+
+    @see service_entry
+*/
+class service_table {
+public:
+    struct options {
+        service_router::options router;
+        node_metrics& metrics;
+        cold_gate& gate;
+    };
+
+    explicit service_table(options it) : options_(std::move(it)) {}
+
+    /** The entry of a service; null if it does not exist. */
+    [[nodiscard]] std::shared_ptr<service_entry> find(std::string_view name) const;
+
+    /** Takes a configuration. Called on one thread. */
+    void update(const config_view_ptr& now_in_force, instant now);
+
+    /** Calls `use` with each entry. */
+    void for_each(const std::function<void(const std::string&, service_entry&)>& use) const;
+
+private:
+    using table = absl::flat_hash_map<std::string, std::shared_ptr<service_entry>>;
+
+    using domain_states = absl::flat_hash_map<std::string, bool>;
+
+    [[nodiscard]] std::shared_ptr<service_entry> make_entry(const service_config& it) const;
+    void update_entry(const config_view& view, const service_view& service, service_entry& entry,
+                      instant now);
+    void forget_missing(const config_view& view);
+
+    [[nodiscard]] std::shared_ptr<const table> current() const;
+
+    options options_;
+    mutable mutex mutex_;
+    std::shared_ptr<const table> table_ ABSL_GUARDED_BY(mutex_){std::make_shared<table>()};
+    // Used by the updating thread only.
+    absl::flat_hash_set<std::string> known_upstreams_;
+    domain_states domains_;
+    config_view_ptr last_; ///< Unchanged services are recognised by their address in it.
+};
+
+} // namespace berylcrank
