Add the stand-in upstream

Cause: no test could send work to a worker that is cold, slow, lying, shedding or crashing. Change: shared parts (serve, timers, JSON answers, arguments) and the program standin_upstream with slots, queue, faults, downloads by range, POST /control and GET /executions.

--- /dev/null
+++ b/standins/upstream/upstream_handler.cpp
@@ -0,0 +1,213 @@
+#include "standins/upstream/upstream_handler.h"
+
+#include "standins/common/json_answer.h"
+#include "standins/upstream/blob.h"
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+
+#include <unistd.h>
+
+namespace berylcrank::standins {
+
+namespace {
+
+constexpr int crash_exit_code = 99;
+constexpr std::uint64_t max_answer_bytes = 16ULL << 20U;
+
+std::string key_of(const http_request& it) {
+    for (const auto* const name : {"Idempotency-Key", "Berylcrank-Request-Id"}) {
+        if (const auto value = find_header(it.headers, name)) {
+            return std::string(*value);
+        }
+    }
+    return {};
+}
+
+} // namespace
+
+void upstream_handler::handle(std::shared_ptr<http_exchange> it) {
+    const auto path = path_of(it->request());
+    if (path == "/load") {
+        answer_probe(it);
+    } else if (path == "/control") {
+        answer_control(it);
+    } else if (path == "/executions") {
+        answer_executions(it);
+    } else {
+        work(it);
+    }
+}
+
+void upstream_handler::answer_probe(const exchange_ptr& it) {
+    worker_.count_probe();
+    const auto answer = [this, it] {
+        auto headers = common_headers(it->request(), {});
+        it->answer(
+            {.head = {.status = 200, .headers = std::move(headers)}, .body = worker_.load_report() + "\n"});
+    };
+    const auto delay = millis::from_value(worker_.settings().probe_delay_ms);
+    if (delay.micros() > 0) {
+        worker_.timers().call_after(delay, answer);
+    } else {
+        answer();
+    }
+}
+
+void upstream_handler::answer_control(const exchange_ptr& it) {
+    nlohmann::json state = worker_.settings();
+    if (it->request().method == "GET") {
+        answer_json(*it, 200, state);
+        return;
+    }
+    auto change = read_json(*it);
+    if (!change) {
+        return;
+    }
+    if (change->value("cool", false) || change->value("restart", false)) {
+        worker_.cool(change->value("restart", false));
+    }
+    change->erase("cool");
+    change->erase("restart");
+    for (const auto& [key, value] : change->items()) {
+        if (!state.contains(key)) {
+            answer_json(*it, 400, {{"error", "unknown field \"" + key + "\""}});
+            return;
+        }
+    }
+    state.merge_patch(*change);
+    try {
+        worker_.set_settings(state.get<worker_settings>());
+        answer_json(*it, 200, state);
+    } catch (const nlohmann::json::exception& error) {
+        answer_json(*it, 400, {{"error", error.what()}});
+    }
+}
+
+void upstream_handler::answer_executions(const exchange_ptr& it) {
+    if (const auto key = query_of(it->request(), "key")) {
+        answer_json(*it, 200, {{"executions", worker_.executions(std::string(*key))}});
+        return;
+    }
+    nlohmann::json document{{"counters", worker_.counters()}, {"in_flight", worker_.in_flight()}};
+    if (!it->request().path.ends_with("?brief")) {
+        document["executions"] = worker_.all_executions();
+    }
+    answer_json(*it, 200, document);
+}
+
+void upstream_handler::work(const exchange_ptr& it) {
+    const auto& request = it->request();
+    const auto marker = worker_.settings().crash_marker;
+    if (!marker.empty() &&
+        (request.path.find(marker) != std::string::npos || request.body.find(marker) != std::string::npos)) {
+        _exit(crash_exit_code);
+    }
+    worker_.submit(it, key_of(request), [this, it](job_end end) { answer_work(it, end); });
+}
+
+void upstream_handler::answer_work(const exchange_ptr& it, job_end end) {
+    if (end != job_end::completed) {
+        answer_refusal(it, end);
+        return;
+    }
+    const auto& request = it->request();
+    const auto fault = worker_.take_fault(request.path);
+    if (fault == "hang") {
+        // The exchange is kept until the caller leaves.
+        it->set_on_gone([it] {});
+        return;
+    }
+    if (fault == "close") {
+        it->abort();
+        return;
+    }
+    if (parse_blob(path_of(request))) {
+        answer_blob(it, fault);
+        return;
+    }
+    auto body = body_of(request);
+    if (fault.empty() || fault.ends_with("_id")) {
+        it->answer(
+            {.head = {.status = 200, .headers = common_headers(request, fault)}, .body = std::move(body)});
+    } else {
+        answer_broken(it, body, fault);
+    }
+}
+
+void upstream_handler::answer_refusal(const exchange_ptr& it, job_end end) {
+    http_answer_head head{.status = 503, .headers = common_headers(it->request(), {})};
+    const auto settings = worker_.settings();
+    if (end == job_end::failed_fast) {
+        head.status = settings.fail_status;
+    } else {
+        head.headers.push_back({"Berylcrank-Verdict", "not-run"});
+        if (settings.retry_no) {
+            head.headers.push_back({"Berylcrank-Retry", "no"});
+        }
+    }
+    it->answer({.head = std::move(head), .body = end == job_end::shed ? "shed\n" : "failed\n"});
+}
+
+void upstream_handler::answer_blob(const exchange_ptr& it, std::string_view fault) {
+    const auto& request = it->request();
+    const auto settings = worker_.settings();
+    const auto whole = *parse_blob(path_of(request));
+    const auto etag = absl::StrCat(settings.weak_etag ? "W/" : "", "\"", whole.size, "-", whole.seed,
+                                   settings.etag_salt, "\"");
+    auto part = select_part(whole, request, etag);
+    if (settings.ignore_range) {
+        part = {.status = 200, .first = 0, .size = whole.size};
+    }
+    http_answer_head head{.status = part.status, .headers = common_headers(request, fault)};
+    head.headers.push_back({"ETag", etag});
+    head.headers.push_back({"Accept-Ranges", "bytes"});
+    if (part.status == 206) {
+        head.headers.push_back({"Content-Range", absl::StrCat("bytes ", part.first, "-",
+                                                              part.first + part.size - 1, "/", whole.size)});
+    } else if (part.status == 416) {
+        head.headers.push_back({"Content-Range", absl::StrCat("bytes */", whole.size)});
+        it->answer({.head = std::move(head), .body = {}});
+        return;
+    }
+    const auto kind = fault == "cut"     ? stream_fault::cut
+                      : fault == "stall" ? stream_fault::stall
+                                         : stream_fault::none;
+    stream_blob(it, whole, part, std::move(head), kind, settings.fault_bytes);
+}
+
+void upstream_handler::answer_broken(const exchange_ptr& it, const std::string& body,
+                                     std::string_view fault) {
+    const bool is_chunked = fault == "truncated_chunked";
+    const auto size = is_chunked ? std::nullopt : std::optional<std::uint64_t>(body.size() + 1);
+    const auto buffer =
+        it->start_answer({.status = 200, .headers = common_headers(it->request(), fault)}, size);
+    buffer->push(body);
+    if (fault == "stalled") {
+        it->set_on_gone([buffer] {});
+    } else {
+        buffer->fail();
+    }
+}
+
+std::string upstream_handler::body_of(const http_request& it) {
+    std::uint64_t size = 0;
+    const auto bytes = query_of(it, "bytes");
+    if (bytes && absl::SimpleAtoi(absl::string_view{bytes->data(), bytes->size()}, &size)) {
+        std::string body(std::min(size, max_answer_bytes), '\0');
+        fill_blob({.size = body.size(), .seed = body.size()}, 0, body);
+        return body;
+    }
+    return it.body.empty() ? nlohmann::json{{"upstream", name_}, {"path", it.path}}.dump() : it.body;
+}
+
+std::vector<http_header> upstream_handler::common_headers(const http_request& it, std::string_view fault) {
+    std::vector<http_header> headers{{"Berylcrank-Load", worker_.load_report()}};
+    const auto id = find_header(it.headers, "Berylcrank-Request-Id");
+    if (id && fault != "missing_id") {
+        headers.push_back({"Berylcrank-Request-Id", std::string(*id) + (fault == "wrong_id" ? "0" : "")});
+    }
+    return headers;
+}
+
+} // namespace berylcrank::standins
