--- a/modules/berylcrank_once/message/order_message.h
+++ b/modules/berylcrank_once/message/order_message.h
@@ -38,4 +38,8 @@
     bool operator==(const order_answer&) const = default;
 };
 
+/** The answer for a resend of an order whose recorded body was not kept: the same verdict, status 410, and a
+    reason that names the original status. */
+order_answer without_body(const order_answer& it);
+
 } // namespace berylcrank
