Add RPC between nodes with Cap'n Proto

Cause: peer_endpoint was declared only. Ruled out: kj::Executor (ThreadSanitizer reports false races); KJ's own connect (its error does not carry the error number that tells a refused connection from a silent one). Change: one KJ loop on one thread, fed by a queue with a pipe; a connection for each address, forgotten when it breaks or nothing arrives during a call; message limits on both sides.

--- /dev/null
+++ b/modules/berylcrank_rpc/peer/peer_loop.cpp
@@ -0,0 +1,49 @@
+#include "modules/berylcrank_rpc/peer/peer_loop.h"
+
+namespace berylcrank {
+
+namespace {
+
+kj::Own<kj::ConnectionReceiver> listen_on(kj::AsyncIoContext& io, const std::string& address) {
+    const auto at = parse_socket_address(address);
+    KJ_REQUIRE(at.has_value(), "not an IP address and port", address.c_str());
+    return io.provider->getNetwork().getSockaddr(at->get(), at->length)->listen();
+}
+
+} // namespace
+
+peer_loop::peer_loop(const peer_endpoint::options& it, peer_service& service,
+                     std::shared_ptr<task_queue> queue, std::atomic<std::uint64_t>& traffic)
+    : limits_(it.message_bytes), queue_(std::move(queue)), io_(kj::setupAsyncIo()),
+      wakeups_(io_.lowLevelProvider->wrapInputFd(queue_->read_end(),
+                                                 kj::LowLevelAsyncIoProvider::ALREADY_NONBLOCK)),
+      tasks_(new kj::TaskSet(*this)),
+      connections_({.io = io_, .traffic = traffic, .limits = limits_}, *tasks_),
+      acceptor_({.limits = limits_}, listen_on(io_, it.address),
+                kj::heap<peer_server>(service, queue_, relays_, limits_), io_.provider->getTimer(), traffic,
+                *tasks_) {}
+
+peer_loop::~peer_loop() {
+    // Calls and connections in progress use the other members.
+    tasks_.reset();
+}
+
+void peer_loop::run() {
+    run_tasks().wait(io_.waitScope);
+}
+
+kj::Promise<void> peer_loop::run_tasks() {
+    return wakeups_->tryRead(wakeup_bytes_.data(), 1, wakeup_bytes_.size()).then([this](size_t) {
+        bool is_closed = false;
+        for (const auto& it : queue_->take(is_closed)) {
+            it();
+        }
+        return is_closed ? kj::Promise<void>(kj::READY_NOW) : run_tasks();
+    });
+}
+
+void peer_loop::taskFailed(kj::Exception&& /*exception*/) {
+    // A connection broke; its calls have been answered.
+}
+
+} // namespace berylcrank
--- /dev/null
+++ b/modules/berylcrank_rpc/peer/peer_loop.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "modules/berylcrank_rpc/peer/peer_connections.h"
+#include "modules/berylcrank_rpc/peer/peer_server.h"
+
+#include <array>
+#include <memory>
+#include <string>
+
+// KJ's classes have no virtual destructor by design: `kj::Own` remembers how to destroy them.
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wnon-virtual-dtor"
+
+namespace berylcrank {
+
+/** Everything of KJ that an endpoint has. Made, used and destroyed on the RPC thread.
+
+    @see rpc_endpoint
+*/
+// NOLINTNEXTLINE(cppcoreguidelines-virtual-class-destructor)
+class peer_loop final : private kj::TaskSet::ErrorHandler {
+public:
+    /** Throws `kj::Exception` if the address cannot be used. */
+    peer_loop(const peer_endpoint::options& it, peer_service& service, std::shared_ptr<task_queue> queue,
+              std::atomic<std::uint64_t>& traffic);
+    ~peer_loop();
+    peer_loop(const peer_loop&) = delete;
+    peer_loop& operator=(const peer_loop&) = delete;
+
+    /** Runs tasks and serves until the queue is closed. */
+    void run();
+
+    [[nodiscard]] unsigned port() { return acceptor_.port(); }
+    [[nodiscard]] peer_connections& connections() { return connections_; }
+    [[nodiscard]] const message_limits& limits() const { return limits_; }
+
+private:
+    kj::Promise<void> run_tasks();
+    void taskFailed(kj::Exception&& exception) override;
+
+    message_limits limits_;
+    std::shared_ptr<task_queue> queue_;
+    kj::AsyncIoContext io_;
+    kj::Own<kj::AsyncInputStream> wakeups_;
+    std::array<char, 64> wakeup_bytes_{};
+    pending_relays relays_;
+    std::unique_ptr<kj::TaskSet> tasks_; ///< Reset first: calls in progress use the rest.
+    peer_connections connections_;
+    peer_acceptor acceptor_;
+};
+
+} // namespace berylcrank
+
+#pragma GCC diagnostic pop
--- /dev/null
+++ b/modules/berylcrank_rpc/peer/peer_server.cpp
@@ -0,0 +1,118 @@
+#include "modules/berylcrank_rpc/peer/peer_server.h"
+
+#include "modules/berylcrank_rpc/peer/counting_stream.h"
+#include "modules/berylcrank_rpc/peer/peer_codec.h"
+
+#include <capnp/rpc-twoparty.h>
+
+namespace berylcrank {
+
+namespace {
+
+/** One accepted connection. */
+struct accepted_connection {
+    accepted_connection(kj::Own<kj::AsyncIoStream> inner, std::atomic<std::uint64_t>& traffic,
+                        const message_limits& limits, capnp::Capability::Client service)
+        : stream(kj::mv(inner), traffic),
+          network(stream, capnp::rpc::twoparty::Side::SERVER, limits.reader_options()),
+          rpc(capnp::makeRpcServer(network, kj::mv(service))) {
+        rpc.setFlowLimit(limits.flow_words());
+    }
+
+    counting_stream stream;
+    capnp::TwoPartyVatNetwork network;
+    capnp::RpcSystem<capnp::rpc::twoparty::VatId> rpc;
+};
+
+/** Accepting fails when file descriptors run out; a busy loop would not free any. */
+constexpr auto pause_after_failure = 100 * kj::MILLISECONDS;
+
+request_class decode_class(std::uint16_t it) {
+    return it < request_class_count ? static_cast<request_class>(it) : request_class::lookup;
+}
+
+} // namespace
+
+kj::Promise<void> peer_server::gossip(GossipContext context) {
+    const auto reply = service_.on_gossip(decode(context.getParams().getMessage()));
+    encode(reply, context.getResults().initReply());
+    limits_.check(context.getResults().totalSize());
+    return kj::READY_NOW;
+}
+
+kj::Promise<void> peer_server::pullState(PullStateContext context) {
+    const auto delta = service_.on_pull_state(context.getParams().getFromOffset());
+    context.getResults().setDelta(as_data(delta));
+    limits_.check(context.getResults().totalSize());
+    return kj::READY_NOW;
+}
+
+kj::Promise<void> peer_server::relayOrder(RelayOrderContext context) {
+    auto order = decode(context.getParams().getRequest());
+    context.releaseParams();
+    const auto number = next_relay_++;
+    auto paf = kj::newPromiseAndFulfiller<order_answer>();
+    relays_.emplace(number, kj::mv(paf.fulfiller));
+    service_.on_relay_order(std::move(order),
+                            [queue = queue_, relays = &relays_, number](const order_answer& answer) {
+                                // The map is touched only by the task, which runs on the RPC thread or not at
+                                // all.
+                                queue->post([relays, number, answer] {
+                                    if (const auto it = relays->find(number); it != relays->end()) {
+                                        it->second->fulfill(order_answer{answer});
+                                        relays->erase(it);
+                                    }
+                                });
+                            });
+    return paf.promise.then([context, limits = limits_](const order_answer& answer) mutable {
+        encode(answer, context.getResults().initAnswer());
+        limits.check(context.getResults().totalSize());
+    });
+}
+
+kj::Promise<void> peer_server::acquirePermit(AcquirePermitContext context) {
+    const auto params = context.getParams();
+    const auto upstream = params.getUpstream();
+    const auto answer =
+        service_.on_acquire_permit({params.getIncarnation()}, {upstream.begin(), upstream.size()},
+                                   decode_class(params.getRequestClass()));
+    encode(answer, context.getResults().initAnswer());
+    return kj::READY_NOW;
+}
+
+kj::Promise<void> peer_server::releasePermit(ReleasePermitContext context) {
+    service_.on_release_permit(decode(context.getParams()));
+    return kj::READY_NOW;
+}
+
+kj::Promise<void> peer_server::reportCrash(ReportCrashContext context) {
+    service_.on_report_crash(decode(context.getParams().getCrashes()));
+    return kj::READY_NOW;
+}
+
+peer_acceptor::peer_acceptor(const options& it, kj::Own<kj::ConnectionReceiver> receiver,
+                             capnp::Capability::Client service, kj::Timer& timer,
+                             std::atomic<std::uint64_t>& traffic, kj::TaskSet& tasks)
+    : options_(it), receiver_(kj::mv(receiver)), service_(kj::mv(service)), timer_(timer), traffic_(traffic),
+      tasks_(tasks) {
+    tasks_.add(accept_next());
+}
+
+kj::Promise<void> peer_acceptor::accept_next() {
+    return receiver_->accept()
+        .then([this](kj::Own<kj::AsyncIoStream>&& stream) { serve(kj::mv(stream)); })
+        .catch_([this](kj::Exception&&) { return timer_.afterDelay(pause_after_failure); })
+        .then([this] { return accept_next(); });
+}
+
+void peer_acceptor::serve(kj::Own<kj::AsyncIoStream> stream) {
+    if (open_ >= options_.max_connections) {
+        return;
+    }
+    auto it = kj::heap<accepted_connection>(kj::mv(stream), traffic_, options_.limits, service_);
+    auto ended = it->network.onDisconnect();
+    ++open_;
+    tasks_.add(ended.attach(kj::mv(it)).then([this] { --open_; }, [this](kj::Exception&&) { --open_; }));
+}
+
+} // namespace berylcrank
--- /dev/null
+++ b/modules/berylcrank_rpc/peer/rpc_endpoint.cpp
@@ -0,0 +1,129 @@
+#include "modules/berylcrank_rpc/peer/rpc_endpoint.h"
+
+#include "modules/berylcrank_rpc/peer/peer_codec.h"
+#include "modules/berylcrank_rpc/peer/peer_loop.h"
+
+#include <future>
+
+namespace berylcrank {
+
+rpc_endpoint::~rpc_endpoint() {
+    queue_->close();
+    if (thread_.joinable()) {
+        thread_.join();
+    }
+}
+
+bool rpc_endpoint::start(const options& it, peer_service& service, std::string& error) {
+    std::promise<std::string> started;
+    auto result = started.get_future();
+    thread_ = std::thread([this, it, &service, started = std::move(started)]() mutable {
+        run(it, service, std::move(started));
+    });
+    error = result.get();
+    return error.empty();
+}
+
+void rpc_endpoint::run(const options& it, peer_service& service, std::promise<std::string> started) {
+    std::unique_ptr<peer_loop> loop;
+    try {
+        loop = std::make_unique<peer_loop>(it, service, queue_, traffic_);
+        loop_ = loop.get();
+        address_ = with_port(it.address, loop->port());
+        started.set_value("");
+    } catch (const kj::Exception& why) {
+        started.set_value("cannot listen on " + it.address + ": " + why.getDescription().cStr());
+        return;
+    }
+    loop->run();
+}
+
+template <typename Answer, typename Send>
+void rpc_endpoint::post_call(const std::string& address, millis timeout, on_answer<Answer> done, Send send) {
+    auto once = std::make_shared<answer_once<Answer>>(std::move(done));
+    queue_->post([this, address, timeout, once = std::move(once), send = std::move(send)] {
+        loop_->connections().call<Answer>(address, timeout, once, [this, send](schema::Peer::Client to) {
+            return send(std::move(to), loop_->limits());
+        });
+    });
+}
+
+void rpc_endpoint::gossip(const std::string& address, gossip_message it, millis timeout,
+                          on_answer<gossip_message> done) {
+    post_call(address, timeout, std::move(done),
+              [it = std::move(it)](schema::Peer::Client to, const message_limits& limits) {
+                  auto request = to.gossipRequest();
+                  encode(it, request.initMessage());
+                  limits.check(request.totalSize());
+                  return request.send().then([](auto&& response) { return decode(response.getReply()); });
+              });
+}
+
+void rpc_endpoint::pull_state(const std::string& address, std::uint64_t from_offset, millis timeout,
+                              on_answer<std::string> done) {
+    post_call(address, timeout, std::move(done),
+              [from_offset](schema::Peer::Client to, const message_limits& /*limits*/) {
+                  auto request = to.pullStateRequest();
+                  request.setFromOffset(from_offset);
+                  return request.send().then([](auto&& response) { return decode(response.getDelta()); });
+              });
+}
+
+void rpc_endpoint::relay_order(const std::string& address, order_request it, millis timeout,
+                               on_answer<order_answer> done) {
+    post_call(address, timeout, std::move(done),
+              [it = std::move(it)](schema::Peer::Client to, const message_limits& limits) {
+                  auto request = to.relayOrderRequest();
+                  encode(it, request.initRequest());
+                  limits.check(request.totalSize());
+                  return request.send().then([](auto&& response) { return decode(response.getAnswer()); });
+              });
+}
+
+void rpc_endpoint::acquire_permit(const std::string& address, incarnation who, std::string upstream,
+                                  request_class it, millis timeout, on_answer<permit_answer> done) {
+    post_call(
+        address, timeout, std::move(done),
+        [who, upstream = std::move(upstream), it](schema::Peer::Client to, const message_limits& limits) {
+            auto request = to.acquirePermitRequest();
+            request.setIncarnation(who.value);
+            request.setUpstream({upstream.c_str(), upstream.size()});
+            request.setRequestClass(static_cast<std::uint16_t>(it));
+            limits.check(request.totalSize());
+            return request.send().then([](auto&& response) { return decode(response.getAnswer()); });
+        });
+}
+
+void rpc_endpoint::release_permit(const std::string& address, permit_release it, millis timeout,
+                                  on_answer<bool> done) {
+    post_call(address, timeout, std::move(done),
+              [it = std::move(it)](schema::Peer::Client to, const message_limits& limits) {
+                  auto request = to.releasePermitRequest();
+                  // A request is a builder of its parameters.
+                  encode(it, static_cast<schema::Peer::ReleasePermitParams::Builder&>(request));
+                  limits.check(request.totalSize());
+                  return request.send().then([](auto&&) { return true; });
+              });
+}
+
+void rpc_endpoint::report_crash(const std::string& address, std::vector<crash_news> it, millis timeout,
+                                on_answer<bool> done) {
+    post_call(address, timeout, std::move(done),
+              [it = std::move(it)](schema::Peer::Client to, const message_limits& limits) {
+                  auto request = to.reportCrashRequest();
+                  auto list = request.initCrashes(static_cast<capnp::uint>(it.size()));
+                  for (capnp::uint n = 0; n < list.size(); ++n) {
+                      encode(it[n], list[n]);
+                  }
+                  limits.check(request.totalSize());
+                  return request.send().then([](auto&&) { return true; });
+              });
+}
+
+std::unique_ptr<peer_endpoint> make_peer_endpoint(const peer_endpoint::options& it, peer_service& service,
+                                                  std::string& error) {
+    auto out = std::make_unique<rpc_endpoint>();
+    return out->start(it, service, error) ? std::move(out) : nullptr;
+}
+
+} // namespace berylcrank
--- /dev/null
+++ b/tests/rpc/peer_fixture.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "modules/berylcrank_rpc/berylcrank_rpc.h"
+
+#include <chrono>
+#include <doctest/doctest.h>
+#include <future>
+#include <mutex>
+
+namespace berylcrank::testing {
+
+/** Longest wait for an answer; only a fault takes this long. */
+constexpr std::chrono::seconds hard_end{20};
+
+/** Answers every call with something derived from it, and keeps relayed orders that are to wait. */
+class echo_service final : public peer_service {
+public:
+    gossip_message on_gossip(const gossip_message& it) override { return it; }
+    std::string on_pull_state(std::uint64_t from_offset) override { return std::string(from_offset, '\0'); }
+    void on_relay_order(order_request it, std::function<void(order_answer)> reply) override {
+        if (it.method == "WAIT") {
+            waiting.set_value(std::move(reply));
+            return;
+        }
+        reply({.verdict = run_verdict::ran,
+               .status = 200,
+               .headers = it.headers,
+               .body = it.body,
+               .reason = it.id,
+               .id_prefix = it.path});
+    }
+    permit_answer on_acquire_permit(incarnation who, std::string_view upstream, request_class it) override {
+        return {.granted = it == request_class::order,
+                .permit = who.value,
+                .expires_after = millis{static_cast<std::int64_t>(upstream.size())},
+                .retry_after = millis{7},
+                .is_holder = false};
+    }
+    void on_release_permit(const permit_release& it) override { released = it; }
+    void on_report_crash(std::span<const crash_news> it) override { crashes.assign(it.begin(), it.end()); }
+
+    std::promise<std::function<void(order_answer)>> waiting;
+    permit_release released;
+    std::vector<crash_news> crashes;
+};
+
+template <typename Answer>
+struct peer_result {
+    peer_failure failure{peer_failure::none};
+    Answer answer{};
+};
+
+/** A callback and the result that it will receive. */
+template <typename Answer>
+struct pending_call {
+    std::shared_ptr<std::promise<peer_result<Answer>>> promise =
+        std::make_shared<std::promise<peer_result<Answer>>>();
+
+    peer_client::on_answer<Answer> callback() {
+        return [it = promise](peer_failure failure, Answer answer) {
+            it->set_value({failure, std::move(answer)});
+        };
+    }
+
+    peer_result<Answer> wait() {
+        auto result = promise->get_future();
+        REQUIRE(result.wait_for(hard_end) == std::future_status::ready);
+        return result.get();
+    }
+};
+
+/** A server and a client endpoint on ports chosen by the kernel. */
+struct peer_fixture {
+    echo_service service;
+    echo_service unused;
+    std::string error;
+    peer_endpoint::options options{.message_bytes = 1048576};
+    std::unique_ptr<peer_endpoint> server = make_peer_endpoint(options, service, error);
+    std::unique_ptr<peer_endpoint> client = make_peer_endpoint(options, unused, error);
+
+    peer_fixture() { REQUIRE(error.empty()); }
+
+    peer_result<order_answer> relay(const order_request& it, millis timeout = millis{10000}) {
+        pending_call<order_answer> call;
+        client->relay_order(server->address(), it, timeout, call.callback());
+        return call.wait();
+    }
+};
+
+} // namespace berylcrank::testing
