Add order_flow: orders at their home and relays to it

Cause: nothing connected callers' non-idempotent requests with the order table. Change: id validation, order_run (routing, retry after a proven not-run only), order_attempt (last check before the first byte, whole or streamed answer, verdict), relay by RPC otherwise. Ruled out: believing the client's verdict alone; an attempt that was allowed to send counts as not run only by the upstream's own statement.

--- /dev/null
+++ b/modules/berylcrank_node/request/order_reply.cpp
@@ -0,0 +1,68 @@
+#include "modules/berylcrank_node/request/order_reply.h"
+
+#include "modules/berylcrank_node/request/order_headers.h"
+
+namespace berylcrank {
+
+std::string fresh_prefix(id_minter& minter, const clock& time) {
+    return minter.mint_prefix(time.now() + millis{1});
+}
+
+void order_reply::send(const order_answer& it) {
+    if (!claimed_.exchange(true)) {
+        do_send(it);
+    }
+}
+
+std::shared_ptr<body_buffer> order_reply::start_stream(http_answer_head head,
+                                                       std::optional<std::uint64_t> content_bytes) {
+    if (!can_stream() || claimed_.exchange(true)) {
+        return nullptr;
+    }
+    return do_start_stream(std::move(head), content_bytes);
+}
+
+http_order_reply::http_order_reply(std::shared_ptr<http_exchange> exchange, id_minter& minter,
+                                   const clock& time)
+    : exchange_(std::move(exchange)), minter_(minter), time_(time) {
+    exchange_->set_on_gone([state = gone_] {
+        state->is_gone = true;
+        std::function<void()> call;
+        {
+            const lock_guard hold(state->guard);
+            call = std::move(state->on_gone);
+        }
+        if (call) {
+            call();
+        }
+    });
+}
+
+void http_order_reply::set_on_gone(std::function<void()> it) {
+    {
+        const lock_guard hold(gone_->guard);
+        if (!gone_->is_gone) {
+            gone_->on_gone = std::move(it);
+            return;
+        }
+    }
+    it();
+}
+
+void http_order_reply::do_send(const order_answer& it) {
+    exchange_->answer(to_http(it, fresh_prefix(minter_, time_)));
+}
+
+std::shared_ptr<body_buffer> http_order_reply::do_start_stream(http_answer_head head,
+                                                               std::optional<std::uint64_t> content_bytes) {
+    add_verdict(head.headers, run_verdict::ran, fresh_prefix(minter_, time_));
+    return exchange_->start_answer(std::move(head), content_bytes);
+}
+
+void relay_order_reply::do_send(const order_answer& it) {
+    auto out = it;
+    out.id_prefix = fresh_prefix(minter_, time_);
+    reply_(std::move(out));
+}
+
+} // namespace berylcrank
--- /dev/null
+++ b/modules/berylcrank_node/request/order_run.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "modules/berylcrank_core/identity/request_id.h"
+#include "modules/berylcrank_http/client/upstream_client.h"
+#include "modules/berylcrank_node/request/attempt_router.h"
+#include "modules/berylcrank_node/request/order_reply.h"
+#include "modules/berylcrank_once/berylcrank_once.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace berylcrank {
+
+/** What an order needs at its home. All must outlive every order. @see order_flow */
+struct order_parts {
+    const clock& time;
+    id_minter& minter;
+    order_table& table;
+    attempt_router& router;
+    upstream_client& client;
+};
+
+/** Limits of an order at its home. @see order_flow */
+struct order_limits {
+    unsigned attempts{2};                ///< Upstreams tried while each is proven not to have run the order.
+    std::size_t recordable_bytes{65536}; ///< Larger answers are streamed to the first caller.
+    std::size_t held_bytes{8388608};     ///< Largest answer held for a first copy that cannot be streamed to.
+};
+
+/** One admitted order on its way through routing and attempts. Only one attempt is in progress at a time.
+
+    @see order_flow, order_attempt
+*/
+class order_run : public std::enable_shared_from_this<order_run> {
+public:
+    order_run(const order_parts& parts, const order_limits& limits, order_request request,
+              const request_id& id, std::uint64_t fingerprint, instant deadline,
+              std::shared_ptr<order_reply> reply);
+
+    /** Asks for an upstream; also after an attempt that did not run. */
+    void route();
+
+    /** The check immediately before the first byte. @see order_table::begin_dispatch */
+    std::optional<std::uint32_t> begin_dispatch();
+
+    /** An attempt ended before `begin_dispatch` allowed it. */
+    void on_not_sent(const std::string& upstream);
+
+    /** A dispatched attempt is proven not to have run. */
+    void on_not_run(std::uint32_t attempt, const std::string& upstream);
+
+    /** A dispatched attempt ran or may have run. */
+    void on_ended(std::uint32_t attempt, order_answer answer);
+
+    /** Where the first copy's answer goes. */
+    [[nodiscard]] const std::shared_ptr<order_reply>& reply() const { return reply_; }
+
+    [[nodiscard]] const order_limits& limits() const { return limits_; }
+
+private:
+    void start(std::unique_ptr<attempt_target> target);
+    void refuse(int status, std::string reason, bool is_retry_useful);
+    void try_next(const std::string& upstream);
+
+    order_parts parts_;
+    order_limits limits_;
+    order_request request_;
+    std::shared_ptr<const std::string> body_;
+    request_id id_;
+    std::string id_text_;
+    std::uint64_t fingerprint_;
+    instant deadline_;
+    std::shared_ptr<order_reply> reply_;
+    std::vector<std::string> tried_;
+};
+
+} // namespace berylcrank
