Add policy benchmark: steady state and disturbances on a fake pool

Cause: the policy is to be chosen by measurement. Change: bench/policy runs service_router of each node against fake upstreams; same arrivals and service times for all policies of a seed. Builds; core_test green.

--- /dev/null
+++ b/bench/policy/main.cpp
@@ -0,0 +1,38 @@
+#include "bench/policy/scenario.h"
+
+#include <tclap/CmdLine.h>
+
+#include <cstdio>
+
+/** Prints the tables of docs/MEASUREMENTS.md, part "policy". */
+int main(int argc, char** argv) {
+    using namespace berylcrank;
+    try {
+        TCLAP::CmdLine line("Compares routing policies on a deterministic fake pool.");
+        std::vector<std::string> names{"steady",   "disturbances",  "probing",
+                                       "overload", "amplification", "breaker"};
+        TCLAP::ValuesConstraint<std::string> allowed(names);
+        const TCLAP::UnlabeledValueArg<std::string> part("part", "Table to print", true, "", &allowed, line);
+        const TCLAP::ValueArg<unsigned> seeds("", "seeds", "Runs, with seeds 1 to N", false, 5, "N", line);
+        const TCLAP::ValueArg<unsigned> seconds("", "seconds", "Simulated time of a run", false, 60, "s",
+                                                line);
+        const TCLAP::ValueArg<unsigned> threads("", "threads", "Runs at once", false, 4, "N", line);
+        const TCLAP::SwitchArg brief("", "short", "One size and load only", line);
+        line.parse(argc, argv);
+        const bench::bench_options it{.seeds = seeds.getValue(),
+                                      .duration = millis{seconds.getValue() * 1000},
+                                      .threads = threads.getValue(),
+                                      .is_short = brief.getValue()};
+        const auto run = [&](const char* name, void (*report)(const bench::bench_options&)) {
+            if (part.getValue() == name) {
+                report(it);
+            }
+        };
+        run("steady", bench::report_steady);
+        run("disturbances", bench::report_disturbances);
+    } catch (const TCLAP::ArgException& it) {
+        std::fprintf(stderr, "%s: %s\n", it.argId().c_str(), it.error().c_str());
+        return 2;
+    }
+    return 0;
+}
