Use group_record in the configuration follower

Cause: the follower still named the type that was replaced. Ruled out: nothing else; the rename is mechanical. Conclusion: none.

--- a/modules/berylcrank_node/control/config_follower.cpp
+++ b/modules/berylcrank_node/control/config_follower.cpp
@@ -61,7 +61,7 @@
     }
 }
 
-void config_follower::propose(std::span<const group_assignment> list) {
+void config_follower::propose(std::span<const group_record> list) {
     writer_.propose(list);
     writer_signal_.wake();
 }
--- a/modules/berylcrank_node/control/record_writer.cpp
+++ b/modules/berylcrank_node/control/record_writer.cpp
@@ -17,7 +17,7 @@
 
 } // namespace
 
-void record_writer::propose(std::span<const group_assignment> list) {
+void record_writer::propose(std::span<const group_record> list) {
     const lock_guard guard(mutex_);
     for (const auto& it : list) {
         std::erase_if(proposals_, [&](const auto& old) { return old.content.group == it.group; });
@@ -39,10 +39,10 @@
     return write_part() ? millis{0} : retry_wait();
 }
 
-std::vector<group_assignment> record_writer::open_proposals() {
+std::vector<group_record> record_writer::open_proposals() {
     const auto view = config_.view();
     const auto now = clock_.now();
-    std::vector<group_assignment> out;
+    std::vector<group_record> out;
     const lock_guard guard(mutex_);
     // Once the group has another holder than the one to replace, the log has decided.
     std::erase_if(proposals_, [&](const auto& it) {
@@ -56,7 +56,7 @@
     return out;
 }
 
-bool record_writer::write_assignments(const std::vector<group_assignment>& list) {
+bool record_writer::write_assignments(const std::vector<group_record>& list) {
     if (!append(encode_assignments(list))) {
         return false;
     }
