Assemble a node: control thread, permits, gossip, pages, dispatcher

Cause: the modules exist but no process runs them. Ruled out: building the peer view before the listeners, since the kernel may choose the ports. Before: nothing runs.

--- /dev/null
+++ b/modules/berylcrank_node/control/late_handler.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "modules/berylcrank_http/server/http_exchange.h"
+
+#include <atomic>
+
+namespace berylcrank {
+
+/** Stands in for a handler that does not exist yet: refuses requests until `start`.
+
+    @see http_handler
+*/
+class late_handler final : public http_handler {
+public:
+    /** Passes all further requests on to `it`, which must outlive the server. */
+    void start(http_handler& it) { handler_.store(&it); }
+
+    void handle(std::shared_ptr<http_exchange> it) override {
+        if (auto* handler = handler_.load()) {
+            handler->handle(std::move(it));
+            return;
+        }
+        constexpr int status_unavailable = 503;
+        it->answer({.head = {.status = status_unavailable, .headers = {{"Berylcrank-Verdict", "not-run"}}},
+                    .body = "this node is starting\n"});
+    }
+
+private:
+    std::atomic<http_handler*> handler_{nullptr};
+};
+
+} // namespace berylcrank
--- /dev/null
+++ b/modules/berylcrank_node/control/node.cpp
@@ -0,0 +1,186 @@
+#include "modules/berylcrank_node/control/node.h"
+
+#include <glog/logging.h>
+#include <utility>
+#include <xxhash.h>
+
+namespace berylcrank {
+
+namespace {
+
+millis ms(std::uint32_t it) {
+    return millis{static_cast<std::int64_t>(it)};
+}
+
+peer_info self_info(schema::Settings::Reader it, incarnation self, const std::string& http_address,
+                    const std::string& rpc_address) {
+    return {.vm = it.getVm().cStr(),
+            .run = self,
+            .failure_domain = it.getFailureDomain().cStr(),
+            .http_address = http_address,
+            .rpc_address = rpc_address};
+}
+
+cold_times cold_times_of(schema::Settings::Reader it) {
+    return {.permit = ms(it.getCold().getPermitMs()), .confirm = ms(it.getPlatform().getIsolationLimitMs())};
+}
+
+service_router::options router_options(schema::Settings::Reader it, incarnation self) {
+    const std::string vm = it.getVm().cStr();
+    return {.node = XXH3_64bits(vm.data(), vm.size()),
+            .seed = self.value,
+            .max_nodes = it.getGossip().getMaxNodes()};
+}
+
+order_table::options table_options(schema::Settings::Reader it) {
+    return {.max_entries = it.getOrders().getTableEntries(),
+            .max_bytes = it.getOrders().getTableBytes(),
+            .recordable_bytes = it.getOrders().getAnswerBytes(),
+            .lifetime = ms(it.getOrders().getIdLifetimeMs())};
+}
+
+http_server::options server_options(schema::Settings::Reader it) {
+    return {.address = it.getHttpAddress().cStr(),
+            .threads = it.getThreads().getServer(),
+            .body_bytes = it.getOrders().getBodyBytes(),
+            .header_bytes = it.getRequests().getHeaderBytes(),
+            .buffer_bytes = it.getRequests().getBufferBytes(),
+            .max_connections = it.getRequests().getMaxConnections()};
+}
+
+node_control::options control_options(schema::Settings::Reader it, incarnation self) {
+    return {.gossip = ms(it.getGossip().getIntervalMs()),
+            .isolation_limit = ms(it.getPlatform().getIsolationLimitMs()),
+            .leave = {.keep = ms(it.getAddresses().getKeepMs())},
+            .seed = self.value};
+}
+
+config_follower::options follower_options(schema::Settings::Reader it, incarnation self) {
+    return {.poll = ms(it.getPlatform().getPollMs()),
+            .retention = ms(it.getPlatform().getLogRetentionMs()),
+            .gap_wait = ms(it.getPlatform().getGapWaitMs()),
+            .seed = self.value};
+}
+
+} // namespace
+
+boost::leaf::result<std::unique_ptr<node>> node::start(const settings& it) {
+    const auto reader = it.get();
+    listeners open{.handler = std::make_unique<late_handler>(),
+                   .service = std::make_unique<node_peer_service>()};
+    std::string error;
+    open.endpoint = make_peer_endpoint({.address = reader.getRpcAddress().cStr()}, *open.service, error);
+    if (open.endpoint == nullptr) {
+        return boost::leaf::new_error("rpc_address: " + error);
+    }
+    BOOST_LEAF_ASSIGN(open.server, start_http_server(server_options(reader), *open.handler));
+    std::unique_ptr<node> out(new node(reader, std::move(open)));
+    out->begin();
+    return out;
+}
+
+node::node(schema::Settings::Reader it, listeners open)
+    : minter_({.self = self_, .secret = entropy()}), issuer_({.self = self_, .times = cold_times_of(it)}),
+      open_(std::move(open)), server_(open_.server.get()), endpoint_(open_.endpoint.get()),
+      peers_({.self = self_info(it, self_, server_->address(), endpoint_->address()),
+              .silent = ms(it.getGossip().getSilentMs()),
+              .fan_out = it.getGossip().getFanOut()}),
+      addresses_({.keep = ms(it.getAddresses().getKeepMs()), .count = it.getAddresses().getCount()}),
+      log_({.address = it.getPlatform().getLogAddress().cStr()}),
+      vm_list_({.address = it.getPlatform().getVmListAddress().cStr()}), puller_(clock_, peers_),
+      services_({.router = router_options(it, self_), .metrics = metrics_, .gate = gate_}),
+      applier_({.time = clock_, .self = self_, .services = services_, .gate = gate_, .issuer = issuer_}),
+      config_(follower_options(it, self_), log_, puller_, clock_,
+              [this](const config_view_ptr& view) { applier_.apply(view); }),
+      news_({.time = clock_, .peers = peers_, .config = config_, .gate = gate_}, self_.value),
+      permits_({.time = clock_,
+                .self = self_,
+                .config = config_,
+                .peers = peers_,
+                .issuer = issuer_,
+                .client = *endpoint_},
+               {}),
+      client_(make_upstream_client({.threads = it.getThreads().getUpstream()})),
+      router_({.time = clock_, .gate = gate_, .permits = permits_, .work = work_}, services_),
+      table_(table_options(it)), homes_(peers_),
+      orders_({.limits = {.recordable_bytes = it.getOrders().getAnswerBytes()}},
+              {.time = clock_, .minter = minter_, .table = table_, .router = router_, .client = *client_},
+              *endpoint_, homes_),
+      idempotent_({.stall = ms(it.getRequests().getStallMs()), .id_prefix = to_hex(self_)}, router_, *client_,
+                  clock_),
+      control_({.time = clock_,
+                .self = self_,
+                .peers = peers_,
+                .addresses = addresses_,
+                .config = config_,
+                .news = news_,
+                .client = *endpoint_,
+                .gate = gate_,
+                .issuer = issuer_,
+                .permits = permits_,
+                .services = services_,
+                .orders = orders_,
+                .work = work_,
+                .in_flight = [this] { return server_->open_exchanges(); }},
+               control_options(it, self_)),
+      pages_({.vm = it.getVm().cStr(),
+              .failure_domain = it.getFailureDomain().cStr(),
+              .http_address = server_->address(),
+              .self = self_,
+              .id_use = ms(it.getOrders().getIdLifetimeMs() / 2)},
+             {.time = clock_,
+              .minter = minter_,
+              .addresses = addresses_,
+              .peers = peers_,
+              .config = config_,
+              .services = services_,
+              .metrics = metrics_,
+              .not_ready_because = [this] { return not_ready_because(); },
+              .freshness = [this] { return std::string(to_string(control_.current_freshness())); }}),
+      dispatcher_({.time = clock_,
+                   .services = services_,
+                   .minter = minter_,
+                   .idempotent = idempotent_,
+                   .orders = orders_,
+                   .pages = pages_}),
+      vm_watch_({.list = vm_list_, .peers = peers_, .time = clock_}, ms(it.getPlatform().getPollMs())) {}
+
+void node::begin() {
+    open_.service->start({.time = clock_,
+                          .peers = peers_,
+                          .config = config_,
+                          .news = news_,
+                          .issuer = issuer_,
+                          .orders = orders_});
+    puller_.start(*endpoint_);
+    config_.start();
+    vm_watch_.start();
+    control_.start();
+    open_.handler->start(dispatcher_);
+}
+
+node::~node() {
+    // The order matters: first what starts new work, then what answers it, then what it uses.
+    open_.server->stop_accepting();
+    control_.stop();
+    vm_watch_.stop();
+    config_.stop();
+    client_.reset();
+    open_.server.reset();
+    open_.endpoint.reset();
+}
+
+std::string node::not_ready_because() const {
+    if (!config_.is_ready()) {
+        return "no configuration yet";
+    }
+    if (control_.is_leaving()) {
+        return "leaving";
+    }
+    if (!work_.is_open(clock_.now())) {
+        return "cut off from the log and most nodes";
+    }
+    return {};
+}
+
+} // namespace berylcrank
--- /dev/null
+++ b/modules/berylcrank_node/request/request_dispatcher.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "modules/berylcrank_node/control/status_pages.h"
+#include "modules/berylcrank_node/request/idempotent_flow.h"
+#include "modules/berylcrank_node/request/measured_exchange.h"
+#include "modules/berylcrank_node/request/order_flow.h"
+#include "modules/berylcrank_node/request/request_target.h"
+#include "modules/berylcrank_node/request/service_table.h"
+
+namespace berylcrank {
+
+/** Receives all requests of callers and hands each to its flow or page.
+
+    @see idempotent_flow, order_flow, status_pages
+*/
+class request_dispatcher final : public http_handler {
+public:
+    /** What the dispatcher uses; all must outlive it. */
+    struct parts {
+        const clock& time;
+        const service_table& services;
+        id_minter& minter;
+        idempotent_flow& idempotent;
+        order_flow& orders;
+        const status_pages& pages;
+    };
+
+    explicit request_dispatcher(const parts& it) : parts_(it) {}
+
+    void handle(std::shared_ptr<http_exchange> it) override;
+
+private:
+    void handle_service(const std::shared_ptr<http_exchange>& it, const service_path& target);
+    void handle_page(http_exchange& it) const;
+    void start_flow(const std::shared_ptr<http_exchange>& it, const service_path& target,
+                    const request_terms& terms);
+    void refuse(http_exchange& it, int status, const std::string& reason) const;
+
+    parts parts_;
+};
+
+} // namespace berylcrank
