--- a/modules/berylcrank_membership/view/peer_view.cpp
+++ b/modules/berylcrank_membership/view/peer_view.cpp
@@ -1,12 +1,15 @@
 #include "modules/berylcrank_membership/view/peer_view.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace berylcrank {
 
 namespace {
 
-constexpr std::size_t max_proofs = 64;
+constexpr std::size_t max_replies = 64;
+constexpr std::size_t enough_repliers =
+    8;                                // In a large cluster a node asks far fewer than half within seconds.
 constexpr millis forget_after{60000}; // A delisted vm is dropped after this time without news.
 
 } // namespace
@@ -66,11 +69,13 @@
     const lock_guard lock(mutex_);
     take_sender(it.sender, asked, true, address);
     take_sample(it, now);
+    reply_note note{.from = it.sender.run, .asked = asked, .offset = it.applied_offset};
     if (it.fresh_ago) {
-        proofs_.push_back({asked - *it.fresh_ago, it.applied_offset});
-        if (proofs_.size() > max_proofs) {
-            proofs_.pop_front();
-        }
+        note.fresh = asked - *it.fresh_ago;
+    }
+    replies_.push_back(note);
+    if (replies_.size() > max_replies) {
+        replies_.pop_front();
     }
 }
 
@@ -196,14 +201,42 @@
 std::optional<instant> peer_view::relayed_proof(std::uint64_t applied_offset) const {
     const lock_guard lock(mutex_);
     std::optional<instant> best;
-    for (const auto& it : proofs_) {
-        if (it.offset <= applied_offset && (!best || it.at > *best)) {
-            best = it.at;
+    for (const auto& it : replies_) {
+        if (it.fresh && it.offset <= applied_offset && (!best || *it.fresh > *best)) {
+            best = it.fresh;
         }
     }
     return best;
 }
 
+std::optional<instant> peer_view::outage_proof(std::uint64_t applied_offset, millis within,
+                                               instant now) const {
+    const lock_guard lock(mutex_);
+    absl::flat_hash_map<incarnation, instant> latest;
+    for (const auto& it : replies_) {
+        const bool is_fresh = it.fresh && *it.fresh >= now - within;
+        if (it.asked >= now - within) {
+            if (is_fresh || it.offset > applied_offset) {
+                return std::nullopt;
+            }
+            auto& asked = latest[it.from];
+            asked = std::max(asked, it.asked);
+        }
+    }
+    const auto known = static_cast<std::size_t>(
+        std::ranges::count_if(peers_, [&](const auto& it) { return !is_gone(it.second, now); }));
+    if (known == 0) {
+        return now;
+    }
+    const auto needed = std::min(enough_repliers, (known + 1) / 2);
+    std::vector<instant> asked;
+    for (const auto& [run, at] : latest) {
+        asked.push_back(at);
+    }
+    std::ranges::sort(asked, std::greater<>{});
+    return asked.size() < needed ? std::nullopt : std::optional(asked[needed - 1]);
+}
+
 std::size_t peer_view::size() const {
     const lock_guard lock(mutex_);
     return static_cast<std::size_t>(
--- a/modules/berylcrank_membership/view/peer_view.h
+++ b/modules/berylcrank_membership/view/peer_view.h
@@ -81,12 +81,24 @@
        message that waited in a socket buffer while this process was paused looks new but is not. */
     [[nodiscard]] std::optional<instant> relayed_proof(std::uint64_t applied_offset) const;
 
+    /** While the log cannot be read: the moment since which at least half of the other members (in a large
+        cluster: eight) answered calls, none of them having read the log's end within `within` or knowing a
+        record after `applied_offset`. Nothing if there is no such moment within `within`: then this node
+        alone may be cut off, or records were appended that it has not read.
+
+        That the log refuses connections proves nothing by itself: a record may have been appended before the
+        outage, while this node was paused or cut off. */
+    [[nodiscard]] std::optional<instant> outage_proof(std::uint64_t applied_offset, millis within,
+                                                      instant now) const;
+
     /** Members that are not gone, other than this node. */
     [[nodiscard]] std::size_t size() const;
 
 private:
-    struct proof {
-        instant at;
+    struct reply_note {
+        incarnation from;
+        instant asked;
+        std::optional<instant> fresh; ///< When the replier last read the log's end, at the earliest.
         std::uint64_t offset{0};
     };
     struct ended_run {
@@ -117,7 +129,7 @@
     absl::flat_hash_map<incarnation, std::string> vm_of_ ABSL_GUARDED_BY(mutex_);
     absl::flat_hash_map<incarnation, ended_run> ended_ ABSL_GUARDED_BY(mutex_);
     std::deque<incarnation> ended_order_ ABSL_GUARDED_BY(mutex_);
-    std::deque<proof> proofs_ ABSL_GUARDED_BY(mutex_);
+    std::deque<reply_note> replies_ ABSL_GUARDED_BY(mutex_);
 };
 
 } // namespace berylcrank
--- a/modules/berylcrank_routing/cold/cold_limits.h
+++ b/modules/berylcrank_routing/cold/cold_limits.h
@@ -21,6 +21,8 @@
     /** Age of the last proof that the log named no other holder, above which nothing is issued; the
         `isolation_limit` of the settings. */
     millis confirm{2500};
+    /** Time in which gossip carries the offset of a new record to most nodes while the log is down. */
+    millis spread{1000};
 };
 
 } // namespace berylcrank
--- a/modules/berylcrank_routing/cold/permit_issuer.cpp
+++ b/modules/berylcrank_routing/cold/permit_issuer.cpp
@@ -22,7 +22,8 @@
     }
     const auto& times = options_.times;
     it.is_held = true;
-    it.issue_from = now + times.permit + times.margin + (is_hand_over ? millis{0} : times.confirm);
+    it.issue_from =
+        now + times.permit + times.margin + (is_hand_over ? millis{0} : times.confirm + times.spread);
 }
 
 void permit_issuer::stop(std::uint32_t group) {
--- a/modules/berylcrank_routing/cold/permit_issuer.h
+++ b/modules/berylcrank_routing/cold/permit_issuer.h
@@ -25,9 +25,9 @@
     counts `permit` from before it asked and ends the request within it, so its use ends first.
 
     A new holder issues nothing until every permit of the one before must have ended: it waits
-    `permit + margin + confirm` after it read its assignment, or `permit + margin` if the assignment was
-    written by the previous holder itself after it had called `retire`. The holder before stops when it reads
-   the assignment, or `confirm` after its last proof that it had read the log's end.
+    `permit + margin + confirm + spread` after it read its assignment, or `permit + margin` if the assignment
+   was written by the previous holder itself after it had called `retire`. The holder before stops when it
+   reads the assignment, or `confirm` after its last proof that it had read the log's end.
     @see cold_gate, group_assignment
 */
 class permit_issuer {
@@ -62,8 +62,8 @@
         the hand-over record is appended late, its reader waits only for permits issued before this call. */
     void retire();
 
-    /** Takes that the log contained no unread record at `proof`. Times of proofs are those of the start of
-        the call that brought them. */
+    /** Takes that the log contained no unread record at `proof`: the start of a read that reached the log's
+        end, `peer_view::relayed_proof`, or, while the log cannot be read, `peer_view::outage_proof`. */
     void confirm(instant proof);
 
     /** Asks for a permit.
