--- /dev/null
+++ b/modules/berylcrank_node/request/idempotent_request.cpp
@@ -0,0 +1,332 @@
+#include "modules/berylcrank_node/request/idempotent_request.h"
+
+#include "modules/berylcrank_node/request/routed_attempt.h"
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace berylcrank {
+
+/** Passes the events of one attempt on. */
+class idempotent_request::attempt final : public routed_attempt {
+public:
+    attempt(std::shared_ptr<idempotent_request> owner, std::unique_ptr<attempt_target> target)
+        : routed_attempt(std::move(target), owner->deadline_, owner->flow_.clock_), owner_(std::move(owner)) {
+    }
+
+    bool on_body(std::span<const char> bytes) override { return owner_->take_body(bytes); }
+
+protected:
+    bool is_wanted() override { return !owner_->is_gone(); }
+
+    bool on_answer(const http_answer_head& head, std::optional<std::uint64_t> content_bytes) override {
+        return owner_->take_head(head, content_bytes);
+    }
+
+    void on_end(const attempt_result& it) override { owner_->take_end(it, upstream()); }
+
+private:
+    std::shared_ptr<idempotent_request> owner_;
+};
+
+namespace {
+
+std::optional<millis> timeout_of(const http_request& it) {
+    const auto text = find_header(it.headers, "Berylcrank-Timeout-Ms");
+    std::int64_t ms = 0;
+    if (!text || !absl::SimpleAtoi(absl::string_view{text->data(), text->size()}, &ms) || ms < 0) {
+        return std::nullopt;
+    }
+    constexpr std::int64_t day_ms = 86'400'000;
+    return millis{std::min(ms, day_ms)};
+}
+
+int status_of(attempt_end it) {
+    return it == attempt_end::timed_out || it == attempt_end::stalled ? 504 : 502;
+}
+
+} // namespace
+
+idempotent_request::idempotent_request(idempotent_flow& flow, idempotent_flow::request it)
+    : flow_(flow), request_(std::move(it)) {
+    const auto& received = request_.exchange->request();
+    auto timeout = timeout_of(received);
+    if (request_.request_class == request_class::lookup) {
+        timeout = std::min(timeout.value_or(flow_.options_.lookup_timeout), flow_.options_.lookup_timeout);
+    }
+    if (timeout) {
+        deadline_ = flow_.clock_.now() + *timeout;
+    }
+    fingerprint_ = request_fingerprint(received.method, request_.path, received.body);
+}
+
+void idempotent_request::start() {
+    flow_.counters_.requests.fetch_add(1, std::memory_order_relaxed);
+    request_.exchange->set_on_gone([weak = weak_from_this()] {
+        if (const auto it = weak.lock()) {
+            it->cancel_for_caller();
+        }
+    });
+    route(false);
+}
+
+void idempotent_request::route(bool is_retry) {
+    const auto self = shared_from_this();
+    flow_.router_.route(
+        {.service = request_.service,
+         .request_class = request_.request_class,
+         .deadline = deadline_,
+         .fingerprint = fingerprint_,
+         .excluded = excluded_,
+         .is_retry = is_retry},
+        [self](std::unique_ptr<attempt_target> target) { self->send(std::move(target)); },
+        [self](const attempt_refusal& it) { self->take_refusal(it); });
+}
+
+void idempotent_request::send(std::unique_ptr<attempt_target> target) {
+    std::uint64_t serial = 0;
+    {
+        const lock_guard hold(mutex_);
+        if (is_gone_) {
+            return;
+        }
+        serial = ++serial_;
+        call_ = nullptr;
+        is_resume_due_ = false;
+    }
+    ++attempts_;
+    after_cancel_ = after_cancel::nothing;
+    streamed_at_start_ = streamed_;
+    auto request = make_request(*target, flow_.clock_.now());
+    const auto call = flow_.client_.start(std::move(request),
+                                          std::make_shared<attempt>(shared_from_this(), std::move(target)));
+    bool is_gone = false;
+    bool is_resume_due = false;
+    {
+        const lock_guard hold(mutex_);
+        if (serial != serial_) {
+            return; // The attempt has ended meanwhile and another one has begun.
+        }
+        call_ = call;
+        is_gone = is_gone_;
+        is_resume_due = is_resume_due_;
+    }
+    if (is_gone) {
+        call->cancel();
+    } else if (is_resume_due) {
+        call->resume();
+    }
+}
+
+upstream_request idempotent_request::make_request(const attempt_target& target, instant now) {
+    const auto& exchange = request_.exchange;
+    const auto& received = exchange->request();
+    const bool is_lookup = request_.request_class == request_class::lookup;
+    upstream_request it{
+        .upstream = target.upstream(),
+        .address = target.address(),
+        .method = received.method,
+        .path = request_.path,
+        .headers = upstream_headers(received),
+        .body = {exchange, &received.body},
+        .request_id = absl::StrCat(flow_.options_.id_prefix, "-", absl::Hex(flow_.last_id_.fetch_add(1) + 1)),
+        .stall = flow_.options_.stall};
+    if (deadline_ != instant::never()) {
+        const auto left = std::max(millis{1}, deadline_ - now);
+        it.headers.push_back({"Berylcrank-Timeout-Ms", std::to_string(left.count())});
+        if (is_lookup) {
+            it.timeout = left;
+        }
+    }
+    if (stream_) {
+        progress_.ask_for_rest(it.headers);
+    }
+    return it;
+}
+
+void idempotent_request::cancel_for_caller() {
+    std::shared_ptr<upstream_call> call;
+    {
+        const lock_guard hold(mutex_);
+        is_gone_ = true;
+        call = call_;
+    }
+    flow_.counters_.cancelled.fetch_add(1, std::memory_order_relaxed);
+    if (call) {
+        call->cancel();
+    }
+}
+
+void idempotent_request::resume_upstream() {
+    std::shared_ptr<upstream_call> call;
+    {
+        const lock_guard hold(mutex_);
+        call = call_;
+        is_resume_due_ = call == nullptr;
+    }
+    if (call) {
+        call->resume();
+    }
+}
+
+bool idempotent_request::is_gone() {
+    const lock_guard hold(mutex_);
+    return is_gone_;
+}
+
+bool idempotent_request::take_head(const http_answer_head& head, std::optional<std::uint64_t> content_bytes) {
+    if (stream_) {
+        const auto match = progress_.check(head, content_bytes);
+        if (match != download_progress::match::same) {
+            after_cancel_ =
+                match == download_progress::match::failed ? after_cancel::try_next : after_cancel::abort;
+            return false;
+        }
+        return true;
+    }
+    answer_ = {.head = {.status = head.status, .headers = answer_headers(head)}, .body = {}};
+    content_bytes_ = content_bytes;
+    progress_.begin(head, content_bytes);
+    const bool is_head_request = request_.exchange->request().method == "HEAD";
+    if (content_bytes.value_or(0) > flow_.options_.whole_answer_bytes && !is_head_request) {
+        start_stream();
+    } else if (!is_head_request) {
+        answer_.body.reserve(content_bytes.value_or(0));
+    }
+    return true;
+}
+
+bool idempotent_request::take_body(std::span<const char> bytes) {
+    if (!stream_) {
+        if (answer_.body.size() + bytes.size() <= flow_.options_.whole_answer_bytes) {
+            answer_.body.append(bytes.data(), bytes.size());
+            return true;
+        }
+        start_stream();
+    }
+    if (!stream_->push(bytes)) {
+        return false;
+    }
+    streamed_ += bytes.size();
+    progress_.advance(bytes.size());
+    return true;
+}
+
+void idempotent_request::start_stream() {
+    if (request_.request_class == request_class::download) {
+        deadline_ = instant::never(); // A download that has begun is limited by its stall time only.
+    }
+    stream_ = request_.exchange->start_answer(std::move(answer_.head), content_bytes_);
+    stream_->set_on_space([weak = weak_from_this()] {
+        if (const auto it = weak.lock()) {
+            it->resume_upstream();
+        }
+    });
+    if (!answer_.body.empty()) {
+        stream_->push(answer_.body); // An empty buffer takes any size.
+        streamed_ += answer_.body.size();
+        progress_.advance(answer_.body.size());
+        answer_.body.clear();
+    }
+}
+
+void idempotent_request::take_end(const attempt_result& it, const std::string& upstream) {
+    if (is_gone()) {
+        if (stream_) {
+            stream_->fail();
+        }
+        return;
+    }
+    if (it.end == attempt_end::complete) {
+        complete();
+        return;
+    }
+    verdict_ = it.verdict == run_verdict::not_run ? verdict_ : run_verdict::may_have_run;
+    if (streamed_ > streamed_at_start_) {
+        attempts_ = 1;
+        excluded_.clear();
+    }
+    if (it.end != attempt_end::denied) {
+        excluded_.push_back(upstream);
+    }
+    const bool is_refused = find_header(it.shed.headers, "Berylcrank-Retry") == "no";
+    const bool is_continuable = !stream_ || (progress_.is_resumable() && !progress_.is_whole() &&
+                                             after_cancel_ != after_cancel::abort);
+    const bool is_in_time = stream_ || flow_.clock_.now() < deadline_;
+    if (is_refused || !is_continuable || !is_in_time || attempts_ >= flow_.options_.attempts ||
+        (it.end == attempt_end::cancelled && after_cancel_ != after_cancel::try_next)) {
+        fail(it);
+        return;
+    }
+    (stream_ ? flow_.counters_.resumed : flow_.counters_.retries).fetch_add(1, std::memory_order_relaxed);
+    route(it.end != attempt_end::denied);
+}
+
+void idempotent_request::complete() {
+    if (!stream_ && request_.exchange->request().method == "HEAD") {
+        // The length of the answer to a GET is told, but no body follows.
+        request_.exchange->start_answer(std::move(answer_.head), content_bytes_)->finish();
+    } else if (!stream_) {
+        request_.exchange->answer(std::move(answer_));
+    } else if (progress_.is_whole()) {
+        stream_->finish();
+    } else {
+        abort_stream();
+        return;
+    }
+    flow_.counters_.completed.fetch_add(1, std::memory_order_relaxed);
+}
+
+void idempotent_request::fail(const attempt_result& it) {
+    if (stream_) {
+        abort_stream();
+        return;
+    }
+    const bool is_late = flow_.clock_.now() >= deadline_;
+    const bool is_retry_useful = find_header(it.shed.headers, "Berylcrank-Retry") != "no";
+    if (verdict_ == run_verdict::not_run) {
+        refuse({.status = is_late ? 504 : 503,
+                .verdict = verdict_,
+                .reason = is_late ? "deadline passed before an upstream ran the request"
+                                  : "no upstream took the request",
+                .is_retry_useful = is_retry_useful});
+    } else {
+        refuse({.status = is_late ? 504 : status_of(it.end),
+                .verdict = verdict_,
+                .reason = "no upstream gave a whole answer",
+                .is_retry_useful = is_retry_useful});
+    }
+}
+
+void idempotent_request::take_refusal(const attempt_refusal& it) {
+    if (is_gone()) {
+        return;
+    }
+    if (stream_) {
+        abort_stream();
+        return;
+    }
+    refuse({.status = it.status,
+            .verdict = verdict_,
+            .reason = it.reason,
+            .is_retry_useful = it.is_retry_useful});
+}
+
+void idempotent_request::refuse(const refusal& it) {
+    flow_.counters_.refused.fetch_add(1, std::memory_order_relaxed);
+    request_.exchange->answer(refusal_answer(it));
+}
+
+void idempotent_request::abort_stream() {
+    flow_.counters_.aborted.fetch_add(1, std::memory_order_relaxed);
+    stream_->fail();
+}
+
+void idempotent_flow::run(request it) {
+    std::make_shared<idempotent_request>(*this, std::move(it))->start();
+}
+
+} // namespace berylcrank
