Test the HTTP server with raw requests

Cause: refusals, slow senders, callers that leave and planned stops had no test. Change: 11 cases. A request line, a head or a chunk that libmicrohttpd refuses itself carries no verdict header; only its status and the count are checked, and the header comment says so.

--- /dev/null
+++ b/tests/http/http_server_test.cpp
@@ -0,0 +1,220 @@
+#include "tests/http/local_server.h"
+#include "tests/support/raw_socket.h"
+
+#include <atomic>
+#include <doctest/doctest.h>
+#include <future>
+
+namespace berylcrank::testing {
+
+namespace {
+
+struct http_server_fixture {
+    std::atomic<int> handled{0};
+    std::function<void(std::shared_ptr<http_exchange>)> act = [](const auto& it) {
+        it->answer({.head = {.status = 200}, .body = it->request().body + "!"});
+    };
+    function_handler handler{[this](auto it) {
+        ++handled;
+        act(std::move(it));
+    }};
+    std::unique_ptr<http_server> subject = start_server({.body_bytes = 1000, .idle = millis{1000}}, handler);
+
+    raw_connection connect() const { return raw_connection::to(subject->address()); }
+
+    /** Sends a request and reads to the end of the stream. */
+    std::string refused(const std::string& request) const {
+        auto it = connect();
+        it.send(request);
+        return it.read_all();
+    }
+};
+
+const std::string post = "POST /x HTTP/1.1\r\nHost: a\r\n";
+const std::string get = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
+
+} // namespace
+
+TEST_CASE_FIXTURE(http_server_fixture, "http_server, requests on one connection, all answered in order") {
+    auto it = connect();
+    it.send(post + "Content-Length: 1\r\n\r\na" + post + "Content-Length: 1\r\n\r\nb");
+    CHECK(it.read_message().ends_with("a!"));
+    CHECK(it.read_message().ends_with("b!"));
+    it.send(post + "Transfer-Encoding: chunked\r\n\r\n1\r\nc\r\n0\r\n\r\n");
+    CHECK(it.read_message().ends_with("c!"));
+    CHECK(subject->counted().requests == 3);
+}
+
+// Guards against a request that is read in two ways, and against unbounded memory.
+TEST_CASE_FIXTURE(http_server_fixture, "http_server, bad or oversized head, refused as not run") {
+    const std::string large(20000, 'x');
+    const std::vector<std::pair<std::string, std::string>> requests{
+        {post + "Content-Length: 1001\r\n\r\n", "413"},
+        {post + "Content-Length: 1\r\nContent-Length: 1\r\n\r\na", "400"},
+        {post + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "400"},
+        {"GET /x HTTP/1.1\r\nHost: a\r\nX: " + large + "\r\n\r\n", "431"},
+        {"GET /x HTTP/1.0\r\nHost: a\r\n\r\n", "505"}};
+    for (const auto& [request, status] : requests) {
+        CAPTURE(request.substr(0, 100));
+        const auto it = refused(request);
+        CHECK(it.starts_with("HTTP/1.1 " + status));
+        CHECK(header_in(it, "Berylcrank-Verdict") == "not-run");
+    }
+    const auto n = subject->counted();
+    CHECK(n.body_too_large == 1);
+    CHECK(n.header_too_large == 1);
+    CHECK(n.malformed == 3);
+    CHECK(handled == 0);
+}
+
+// These are refused by libmicrohttpd itself, so only status and count can be checked.
+TEST_CASE_FIXTURE(http_server_fixture, "http_server, bytes that are no request, refused and counted") {
+    const std::string huge(200000, 'x');
+    for (const auto& request :
+         {post + "Content-Length: -1\r\n\r\n", post + "Content-Length: 1x\r\n\r\na",
+          post + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", "GET /" + huge + " HTTP/1.1\r\n",
+          "GET /x HTTP/1.1\r\nHost: a\r\nX: " + huge + "\r\n\r\n"}) {
+        CAPTURE(request.substr(0, 100));
+        CHECK(refused(request).starts_with("HTTP/1.1 4"));
+    }
+    const auto n = subject->counted();
+    CHECK(n.malformed + n.header_too_large + n.body_too_large == 5);
+    CHECK(handled == 0);
+}
+
+TEST_CASE_FIXTURE(http_server_fixture, "http_server, chunked body above the limit, refused or closed") {
+    std::string body;
+    for (int i = 0; i < 11; ++i) {
+        body += "64\r\n" + std::string(100, 'x') + "\r\n";
+    }
+    const auto little = refused(post + "Transfer-Encoding: chunked\r\n\r\n" + body + "0\r\n\r\n");
+    CHECK(little.starts_with("HTTP/1.1 413"));
+    CHECK(header_in(little, "Berylcrank-Verdict") == "not-run");
+    auto it = connect();
+    it.send(post + "Transfer-Encoding: chunked\r\n\r\n" + body + body);
+    CHECK(it.wait_closed());
+    CHECK(subject->counted().body_too_large == 2);
+    CHECK(handled == 0);
+}
+
+// A caller that sends one byte at a time restarts the library's own timeout with each.
+TEST_CASE_FIXTURE(http_server_fixture, "http_server, slow head or body, connection is closed") {
+    for (const auto& start : {std::string("GET /x HTTP/1.1\r\nX: "), post + "Content-Length: 900\r\n\r\n"}) {
+        CAPTURE(start);
+        const auto it = connect();
+        CHECK(it.send(start));
+        wait_until([&] {
+            std::this_thread::sleep_for(std::chrono::milliseconds(50)); // The pace of the slow sender.
+            return !it.send("x");
+        });
+    }
+    auto silent = connect();
+    silent.send(post + "Content-Length: 900\r\n\r\n");
+    CHECK(silent.wait_closed());
+    CHECK(subject->counted().too_slow == 3);
+    CHECK(handled == 0);
+}
+
+// Guards against an answer that was cut off and looks whole.
+TEST_CASE_FIXTURE(http_server_fixture, "http_server, stream that fails, closed without its end") {
+    for (const bool is_chunked : {false, true}) {
+        act = [&](const auto& it) {
+            auto buffer = it->start_answer({.status = 200},
+                                           is_chunked ? std::nullopt : std::optional<std::uint64_t>(6));
+            buffer->push(std::string_view("abc"));
+            buffer->fail();
+        };
+        auto it = connect();
+        it.send(get);
+        it.read_until("\r\n\r\n");
+        const auto body = it.read_all();
+        CHECK(body.find("abc") != std::string::npos);
+        CHECK_FALSE(body.ends_with("0\r\n\r\n"));
+        CHECK(body.size() < 9);
+    }
+}
+
+TEST_CASE_FIXTURE(http_server_fixture, "http_server, aborted request, closed without an answer") {
+    act = [](const auto& it) { it->abort(); };
+    CHECK(refused(get).empty());
+}
+
+// libmicrohttpd does not watch a suspended connection, so a caller that left would never be noticed.
+TEST_CASE_FIXTURE(http_server_fixture,
+                  "http_server, caller leaves, is told once before and during the answer") {
+    std::atomic<int> gone{0};
+    std::promise<std::shared_ptr<http_exchange>> received;
+    act = [&](const auto& it) {
+        it->set_on_gone([&] { ++gone; });
+        received.set_value(it);
+    };
+    auto it = connect();
+    it.send(get);
+    const auto exchange = received.get_future().get();
+    it.close();
+    wait_until([&] { return gone == 1; });
+    exchange->answer({});
+
+    std::promise<std::shared_ptr<body_buffer>> streamed;
+    act = [&](const auto& next) {
+        next->set_on_gone([&] { ++gone; });
+        streamed.set_value(next->start_answer({.status = 200}, std::nullopt));
+    };
+    auto second = connect();
+    second.send(get);
+    const auto buffer = streamed.get_future().get();
+    second.read_until("\r\n\r\n");
+    second.close();
+    wait_until([&] { return gone == 2; });
+    wait_until([&] { return subject->open_exchanges() == 0; });
+    CHECK(subject->counted().gone == 2);
+}
+
+// Guards against a planned stop that cuts off requests or keep-alive callers.
+TEST_CASE_FIXTURE(http_server_fixture,
+                  "http_server, stops accepting, open connections are served to the end") {
+    std::promise<std::shared_ptr<http_exchange>> received;
+    auto open = connect();
+    open.send(get);
+    open.read_message();
+    act = [&](const auto& it) { received.set_value(it); };
+    auto busy = connect();
+    busy.send(get);
+    const auto exchange = received.get_future().get();
+    auto queued = connect();
+    subject->stop_accepting();
+    CHECK_THROWS(connect());
+    exchange->answer({.head = {.status = 200}, .body = "late"});
+    const auto late = busy.read_message();
+    CHECK(late.ends_with("late"));
+    CHECK(header_in(late, "Connection") == "close");
+    CHECK(busy.wait_closed());
+    act = [](const auto& it) { it->answer({.head = {.status = 200}, .body = "last"}); };
+    for (auto* const it : {&open, &queued}) {
+        it->send(get);
+        CHECK(it->read_message().ends_with("last"));
+        CHECK(it->wait_closed());
+    }
+    wait_until([&] { return subject->open_exchanges() == 0; });
+}
+
+TEST_CASE_FIXTURE(http_server_fixture, "http_server, ends with a waiting request, does not hang or crash") {
+    std::promise<std::shared_ptr<http_exchange>> received;
+    act = [&](const auto& it) { received.set_value(it); };
+    auto busy = connect();
+    busy.send(get);
+    const auto exchange = received.get_future().get();
+    subject.reset();
+    exchange->answer({});
+    CHECK(busy.wait_closed());
+}
+
+TEST_CASE("http_server, address in use or not numeric, fails with a reason") {
+    const raw_listener taken;
+    function_handler handler([](const auto&) {});
+    CHECK_THROWS_WITH_AS(start_server({.address = "localhost:0"}, handler),
+                         "\"localhost:0\" is not an IP address and port", std::runtime_error);
+    CHECK_THROWS(start_server({.address = taken.address()}, handler));
+}
+
+} // namespace berylcrank::testing
