--- a/bench/policy/main.cpp
+++ b/bench/policy/main.cpp
@@ -9,8 +9,8 @@
     using namespace berylcrank;
     try {
         TCLAP::CmdLine line("Compares routing policies on a deterministic fake pool.");
-        std::vector<std::string> names{"steady",   "disturbances",  "probing",
-                                       "overload", "amplification", "breaker"};
+        std::vector<std::string> names{"steady",        "disturbances", "probing", "overload",
+                                       "amplification", "breaker",      "suspects"};
         TCLAP::ValuesConstraint<std::string> allowed(names);
         const TCLAP::UnlabeledValueArg<std::string> part("part", "Table to print", true, "", &allowed, line);
         const TCLAP::ValueArg<unsigned> seeds("", "seeds", "Runs, with seeds 1 to N", false, 5, "N", line);
@@ -30,6 +30,7 @@
         };
         run("steady", bench::report_steady);
         run("disturbances", bench::report_disturbances);
+        run("suspects", bench::report_suspects);
     } catch (const TCLAP::ArgException& it) {
         std::fprintf(stderr, "%s: %s\n", it.argId().c_str(), it.error().c_str());
         return 2;
--- a/bench/policy/scenario.h
+++ b/bench/policy/scenario.h
@@ -49,5 +49,6 @@
 void report_overload(const bench_options& it);
 void report_amplification(const bench_options& it);
 void report_breaker(const bench_options& it);
+void report_suspects(const bench_options& it);
 
 } // namespace berylcrank::bench
--- a/modules/berylcrank_routing/service/routing_message.h
+++ b/modules/berylcrank_routing/service/routing_message.h
@@ -24,6 +24,7 @@
     instant deadline{instant::never()};
     attempt_kind kind{attempt_kind::first};
     std::vector<std::string> excluded; ///< Upstreams that must not be given, e.g. those tried before.
+    bool is_alone{false};              ///< A suspect's trial: no other request of this node at its upstream.
     bool may_wait{true};               ///< False: refused instead of queued, e.g. for a hedge.
 };
 
--- a/modules/berylcrank_routing/service/service_router_choice.cpp
+++ b/modules/berylcrank_routing/service/service_router_choice.cpp
@@ -10,6 +10,9 @@
         std::ranges::find(request.excluded, it.config->name) != request.excluded.end()) {
         return tier::absent;
     }
+    if (it.is_exclusive || (request.is_alone && it.stats.in_flight() > 0)) {
+        return tier::busy;
+    }
     const bool lacks_permit = it.gate.is == upstream_gate::state::by_permit && it.gate.permits == 0;
     if (lacks_permit) {
         return it.gate.may_ask ? tier::by_permit : tier::absent;
@@ -86,6 +89,7 @@
         given.needs_permit = !given.used_permit;
         to.gate.permits -= given.used_permit ? 1 : 0;
     }
+    to.is_exclusive = it.is_alone;
     to.stats.on_dispatch(base_, now);
     to.limit.on_dispatch(to.stats.in_flight());
     total_limit_.on_dispatch(++stats_.in_flight);
--- a/modules/berylcrank_routing/service/service_router_learn.cpp
+++ b/modules/berylcrank_routing/service/service_router_learn.cpp
@@ -59,6 +59,7 @@
         auto& state = *at->second;
         ++stats_.outcomes[static_cast<std::size_t>(outcome)];
         --stats_.in_flight;
+        state.is_exclusive = false;
         learn(state, outcome, now - it.at, now);
         if (state.is_removed && state.stats.in_flight() == 0) {
             forget(state.id);
--- a/modules/berylcrank_routing/service/upstream_state.h
+++ b/modules/berylcrank_routing/service/upstream_state.h
@@ -15,6 +15,7 @@
     bool is_in_use{true}; ///< Not draining, its failure domain in use, not removed.
     bool is_removed{
         false}; ///< No longer in the configuration or the subset; forgotten after its last release.
+    bool is_exclusive{false}; ///< Held by a request that must run alone.
     upstream_gate gate;
     upstream_stats stats;
     adaptive_limit limit;
