Serve the whole path as separate processes

Cause: no request had gone from a caller through a node to an upstream and back. Found by the first runs: settings refused port 0, so a test could not let the kernel choose; the first order was refused because a first permit holder waited for permits of a holder that never existed, and a node called itself ready before any admission group had a holder. Ruled out: treating a first holder as a hand-over, which still waits for one permit's time. Change: the command line (node, publish, check, status, burn), the format "listen" for addresses, holders marked as first unless the log has a gap, readiness only with holders for all groups, run limits of permits in both flows, whole_path_test. Before: the order got "not run: its upstreams are starting". After: whole_path_test passes, 14 checks: an order runs once and is answered from the record at another node, a lookup, a 3 MB download byte for byte. Conclusion: the thin path stands; depth follows.

--- a/modules/berylcrank_config/schema/field_rules.cpp
+++ b/modules/berylcrank_config/schema/field_rules.cpp
@@ -129,6 +129,9 @@
         if (rules.format == "ip-port") {
             return "IPv4:port or [IPv6]:port with a port from 1 to 65535";
         }
+        if (rules.format == "listen") {
+            return "IPv4:port or [IPv6]:port with a port from 0 to 65535; 0 lets the kernel choose";
+        }
         return rules.most ? absl::StrCat("a text of at most ", *rules.most, " bytes") : "a text";
     }
     if (type.isList()) {
@@ -178,6 +181,12 @@
     return inet_pton(AF_INET, host.c_str(), buf.data()) == 1;
 }
 
+bool is_listen_address(std::string_view text) {
+    constexpr std::string_view any_port = ":0";
+    return is_ip_port(text) ||
+           (text.ends_with(any_port) && is_ip_port(std::string(text.substr(0, text.size() - 1)) + "1"));
+}
+
 bool is_plain_text(std::string_view text) {
     while (!text.empty()) {
         const auto n = sequence_length(text);
@@ -195,7 +204,8 @@
         const auto text = value.as<capnp::Text>();
         const std::string_view it(text.cStr(), text.size());
         return is_plain_text(it) && is_length_in(it.size(), rules) &&
-               (rules.format != "name" || is_name(it)) && (rules.format != "ip-port" || is_ip_port(it));
+               (rules.format != "name" || is_name(it)) && (rules.format != "ip-port" || is_ip_port(it)) &&
+               (rules.format != "listen" || is_listen_address(it));
     }
     if (type.isList()) {
         return is_length_in(value.as<capnp::DynamicList>().size(), rules);
--- a/modules/berylcrank_config/schema/field_rules.h
+++ b/modules/berylcrank_config/schema/field_rules.h
@@ -12,7 +12,7 @@
 struct field_rules {
     std::string key;                   ///< snake_case name of the field.
     std::string unit;                  ///< Empty if the value has none.
-    std::string format;                ///< "ip-port", "name" or empty.
+    std::string format;                ///< "ip-port", "listen", "name" or empty.
     std::optional<std::int64_t> least; ///< Smallest value or length.
     std::optional<std::int64_t> most;  ///< Largest value or length.
     bool required{false};
@@ -33,6 +33,9 @@
 /** True for `IPv4:port` and `[IPv6]:port` with a port from 1 to 65535. */
 bool is_ip_port(std::string_view text);
 
+/** True for what `is_ip_port` allows and for port 0, which lets the kernel choose. */
+bool is_listen_address(std::string_view text);
+
 /** True if a text holds valid UTF-8 without control characters other than tab and newline. */
 bool is_plain_text(std::string_view text);
 
--- a/modules/berylcrank_config/state/config_state.cpp
+++ b/modules/berylcrank_config/state/config_state.cpp
@@ -78,7 +78,7 @@
 apply_result config_state::apply_assignments(const std::vector<group_record>& list, std::uint64_t offset) {
     auto out = apply_result::ignored;
     for (const auto& it : list) {
-        if (content_.holders.apply(it, offset)) {
+        if (content_.holders.apply(it, offset, content_.covered.has_gap())) {
             ++counters_.assignments_won;
             out = apply_result::assigned;
         } else {
--- a/modules/berylcrank_config/state/group_holders.cpp
+++ b/modules/berylcrank_config/state/group_holders.cpp
@@ -8,13 +8,15 @@
     return static_cast<std::uint32_t>(XXH3_64bits(upstream.data(), upstream.size()) % group_count);
 }
 
-bool group_holders::apply(const group_record& it, std::uint64_t offset) {
+bool group_holders::apply(const group_record& it, std::uint64_t offset, bool has_gap) {
     auto& current = holders_.at(it.group);
     if (current.holder != it.replaces) {
         return false;
     }
-    current = {
-        .holder = it.holder, .offset = offset, .is_hand_over = it.is_hand_over || !it.replaces.is_set()};
+    current = {.holder = it.holder,
+               .offset = offset,
+               .is_hand_over = it.is_hand_over,
+               .is_first = !it.replaces.is_set() && !has_gap};
     return true;
 }
 
--- a/modules/berylcrank_config/state/group_holders.h
+++ b/modules/berylcrank_config/state/group_holders.h
@@ -12,7 +12,8 @@
 struct group_holder {
     incarnation holder;       ///< Unset: none.
     std::uint64_t offset{0};  ///< Log offset of the assignment.
-    bool is_hand_over{false}; ///< The holder before had stopped issuing, or there was none.
+    bool is_hand_over{false}; ///< The holder before had stopped issuing permits.
+    bool is_first{false};     ///< There was no holder before, for sure.
 
     bool operator==(const group_holder&) const = default;
 };
@@ -20,8 +21,9 @@
 /** Holders of all admission groups. The first assignment whose `replaces` is the current holder wins. */
 class group_holders {
 public:
-    /** Applies one assignment; false if it lost against another one. */
-    bool apply(const group_record& it, std::uint64_t offset);
+    /** Applies one assignment; false if it lost against another one. With a gap in the log an unknown holder
+       may exist, so nobody counts as the first one. */
+    bool apply(const group_record& it, std::uint64_t offset, bool has_gap);
 
     /** Keeps the later assignment of each group, without those that one side has certainly seen replaced. */
     void merge(const group_holders& other, const coverage& own_coverage, const coverage& other_coverage);
--- a/modules/berylcrank_config/state/state_codec.cpp
+++ b/modules/berylcrank_config/state/state_codec.cpp
@@ -66,6 +66,7 @@
         list[i].setHolder(it.holders.of(chosen[i]).holder.value);
         list[i].setOffset(it.holders.of(chosen[i]).offset);
         list[i].setIsHandOver(it.holders.of(chosen[i]).is_hand_over);
+        list[i].setIsFirst(it.holders.of(chosen[i]).is_first);
     }
 }
 
@@ -135,7 +136,8 @@
         }
         out.holders.set(holder.getGroup(), {.holder = incarnation{holder.getHolder()},
                                             .offset = holder.getOffset(),
-                                            .is_hand_over = holder.getIsHandOver()});
+                                            .is_hand_over = holder.getIsHandOver(),
+                                            .is_first = holder.getIsFirst()});
     }
     out.dropped_end = it.getDroppedEnd();
     return true;
--- a/modules/berylcrank_node/control/config_applier.cpp
+++ b/modules/berylcrank_node/control/config_applier.cpp
@@ -29,7 +29,11 @@
             parts_.issuer.stop(group);
             continue;
         }
-        parts_.issuer.hold(group, holder.is_hand_over, now);
+        if (holder.is_first) {
+            parts_.issuer.hold_first(group);
+        } else {
+            parts_.issuer.hold(group, holder.is_hand_over, now);
+        }
         for (const auto& [upstream, upstream_incarnation] : parts_.gate.warm_of(group)) {
             parts_.issuer.adopt(upstream, upstream_incarnation);
         }
--- a/modules/berylcrank_node/control/node.cpp
+++ b/modules/berylcrank_node/control/node.cpp
@@ -177,6 +177,12 @@
     if (control_.is_leaving()) {
         return "leaving";
     }
+    const auto view = config_.view();
+    for (std::uint32_t group = 0; group < group_count; ++group) {
+        if (!view->holder_of(group).holder.is_set()) {
+            return "no node issues permits for starting upstreams yet";
+        }
+    }
     if (!work_.is_open(clock_.now())) {
         return "cut off from the log and most nodes";
     }
--- a/modules/berylcrank_node/control/node_control.cpp
+++ b/modules/berylcrank_node/control/node_control.cpp
@@ -149,10 +149,8 @@
     const auto view = parts_.config.view();
     for (std::uint32_t group = 0; group < group_count; ++group) {
         holders[group] = view->holder_of(group).holder;
-        if (holders[group] == parts_.self) {
-            parts_.issuer.stop(group);
-        }
     }
+    parts_.issuer.retire();
     auto others = alive_runs(now);
     std::erase(others, parts_.self);
     if (const auto records = assignment_.hand_over(holders, others); !records.empty()) {
--- a/modules/berylcrank_node/control/node_peer_service.cpp
+++ b/modules/berylcrank_node/control/node_peer_service.cpp
@@ -10,42 +10,43 @@
 }
 
 gossip_message node_peer_service::on_gossip(const gossip_message& it) {
-    const auto* parts = parts_.load();
-    if (parts == nullptr) {
+    const auto* serving = parts_.load();
+    if (serving == nullptr) {
         return {};
     }
-    parts->peers.on_message(it, parts->time.now());
-    parts->news.take(it);
-    return parts->news.make();
+    serving->peers.on_message(it, serving->time.now());
+    serving->news.take(it);
+    return serving->news.make();
 }
 
 std::string node_peer_service::on_pull_state(std::uint64_t from_offset) {
-    const auto* parts = parts_.load();
-    return parts == nullptr ? std::string{} : parts->config.delta_since(from_offset);
+    const auto* serving = parts_.load();
+    return serving == nullptr ? std::string{} : serving->config.delta_since(from_offset);
 }
 
 void node_peer_service::on_relay_order(order_request it, std::function<void(order_answer)> reply) {
-    const auto* parts = parts_.load();
-    if (parts == nullptr) {
+    const auto* serving = parts_.load();
+    if (serving == nullptr) {
         reply({.reason = "this node is starting"});
         return;
     }
-    parts->orders.handle_relayed(std::move(it), std::move(reply));
+    serving->orders.handle_relayed(std::move(it), std::move(reply));
 }
 
 permit_answer node_peer_service::on_acquire_permit(incarnation who, std::string_view upstream,
                                                    request_class it) {
-    const auto* parts = parts_.load();
-    if (parts == nullptr) {
+    const auto* serving = parts_.load();
+    if (serving == nullptr) {
         return {.is_holder = false};
     }
-    const auto limits = cold_limits_of(*parts->config.view(), upstream);
-    return parts->issuer.acquire(who, upstream, it, limits, parts->time.now());
+    const auto limits = cold_limits_of(*serving->config.view(), upstream);
+    return serving->issuer.acquire(who, upstream, it, limits, serving->time.now());
 }
 
 void node_peer_service::on_release_permit(const permit_release& it) {
-    if (const auto* parts = parts_.load()) {
-        parts->issuer.release(it, cold_limits_of(*parts->config.view(), it.upstream), parts->time.now());
+    if (const auto* serving = parts_.load()) {
+        serving->issuer.release(it, cold_limits_of(*serving->config.view(), it.upstream),
+                                serving->time.now());
     }
 }
 
--- a/modules/berylcrank_node/request/idempotent_flow.h
+++ b/modules/berylcrank_node/request/idempotent_flow.h
@@ -30,7 +30,8 @@
         std::shared_ptr<http_exchange> exchange;
         std::string service;
         berylcrank::request_class request_class{berylcrank::request_class::lookup};
-        std::string path; ///< Path and query as sent to the upstream.
+        std::string path;              ///< Path and query as sent to the upstream.
+        std::optional<millis> timeout; ///< Longest deadline of a lookup; none: `options::lookup_timeout`.
     };
 
     /** Totals since the start. */
--- a/modules/berylcrank_node/request/idempotent_request.cpp
+++ b/modules/berylcrank_node/request/idempotent_request.cpp
@@ -55,7 +55,8 @@
     const auto& received = request_.exchange->request();
     auto timeout = timeout_of(received);
     if (request_.request_class == request_class::lookup) {
-        timeout = std::min(timeout.value_or(flow_.options_.lookup_timeout), flow_.options_.lookup_timeout);
+        const auto longest = request_.timeout.value_or(flow_.options_.lookup_timeout);
+        timeout = std::min(timeout.value_or(longest), longest);
     }
     if (timeout) {
         deadline_ = flow_.clock_.now() + *timeout;
@@ -134,12 +135,17 @@
         .body = {exchange, &received.body},
         .request_id = absl::StrCat(flow_.options_.id_prefix, "-", absl::Hex(flow_.last_id_.fetch_add(1) + 1)),
         .stall = flow_.options_.stall};
+    std::optional<millis> left;
     if (deadline_ != instant::never()) {
-        const auto left = std::max(millis{1}, deadline_ - now);
-        it.headers.push_back({"Berylcrank-Timeout-Ms", std::to_string(left.count())});
-        if (is_lookup) {
-            it.timeout = left;
-        }
+        left = std::max(millis{1}, deadline_ - now);
+        it.timeout = is_lookup ? left : std::nullopt;
+    }
+    if (const auto limit = target.run_limit()) {
+        left = std::min(left.value_or(*limit), *limit);
+        it.timeout = std::min(it.timeout.value_or(*limit), *limit);
+    }
+    if (left) {
+        it.headers.push_back({"Berylcrank-Timeout-Ms", std::to_string(left->count())});
     }
     if (stream_) {
         progress_.ask_for_rest(it.headers);
--- a/modules/berylcrank_node/request/order_run.cpp
+++ b/modules/berylcrank_node/request/order_run.cpp
@@ -3,6 +3,8 @@
 #include "modules/berylcrank_node/request/order_attempt.h"
 #include "modules/berylcrank_node/request/order_headers.h"
 
+#include <algorithm>
+
 namespace berylcrank {
 
 namespace {
@@ -58,7 +60,10 @@
 }
 
 void order_run::start(std::unique_ptr<attempt_target> target) {
-    const auto left = deadline_ - parts_.time.now();
+    auto left = deadline_ - parts_.time.now();
+    if (const auto limit = target->run_limit()) {
+        left = std::min(left, *limit);
+    }
     if (left <= millis{0}) {
         target->finish({.end = attempt_end::denied, .verdict = run_verdict::not_run});
         refuse(http_unavailable, "deadline passed before dispatch", true);
--- a/modules/berylcrank_routing/cold/permit_issuer.cpp
+++ b/modules/berylcrank_routing/cold/permit_issuer.cpp
@@ -26,6 +26,14 @@
         now + times.permit + times.margin + (is_hand_over ? millis{0} : times.confirm + times.spread);
 }
 
+void permit_issuer::hold_first(std::uint32_t group) {
+    const lock_guard lock(mutex_);
+    auto& it = groups_.at(group % group_count);
+    if (!it.is_held && !is_retired_) {
+        it = {.is_held = true, .issue_from = instant{}};
+    }
+}
+
 void permit_issuer::stop(std::uint32_t group) {
     const lock_guard lock(mutex_);
     groups_.at(group % group_count).is_held = false;
--- a/modules/berylcrank_routing/cold/permit_issuer.h
+++ b/modules/berylcrank_routing/cold/permit_issuer.h
@@ -55,6 +55,10 @@
         group has never had a holder. */
     void hold(std::uint32_t group, bool is_hand_over, instant now);
 
+    /** Takes that the log names this node as the first holder that `group` ever had, so that no earlier
+       permits can exist; issues at once. */
+    void hold_first(std::uint32_t group);
+
     /** Takes that the log names another holder of `group`. */
     void stop(std::uint32_t group);
 
--- /dev/null
+++ b/program/command/node_targets.cpp
@@ -0,0 +1,31 @@
+#include "program/command/node_targets.h"
+
+#include "modules/berylcrank_http/client/http_fetch.h"
+
+#include "absl/strings/str_split.h"
+#include <nlohmann/json.hpp>
+
+namespace berylcrank {
+
+boost::leaf::result<std::vector<std::string>> node_targets(const std::string& nodes,
+                                                           const std::string& vm_list) {
+    if (!nodes.empty()) {
+        return std::vector<std::string>(absl::StrSplit(nodes, ',', absl::SkipEmpty()));
+    }
+    if (vm_list.empty()) {
+        return boost::leaf::new_error(std::string("give --nodes or --vm-list"));
+    }
+    BOOST_LEAF_AUTO(text, http_fetch(vm_list, "/vms", millis{3000}));
+    try {
+        std::vector<std::string> addresses;
+        const auto json = nlohmann::json::parse(text);
+        for (const auto& it : json.at("vms")) {
+            addresses.push_back(it.at("http_address").get<std::string>());
+        }
+        return addresses;
+    } catch (const nlohmann::json::exception& it) {
+        return boost::leaf::new_error("VM list " + vm_list + " cannot be read: " + it.what());
+    }
+}
+
+} // namespace berylcrank
--- /dev/null
+++ b/program/main.cpp
@@ -0,0 +1,76 @@
+#include "program/command/burn_command.h"
+#include "program/command/check_command.h"
+#include "program/command/node_command.h"
+#include "program/command/publish_command.h"
+#include "program/command/status_command.h"
+
+#include <array>
+#include <iostream>
+#include <memory>
+#include <string>
+#include <tclap/ArgException.h>
+#include <vector>
+
+namespace berylcrank {
+
+namespace {
+
+using command_list = std::array<std::unique_ptr<command>, 5>;
+
+command_list all_commands() {
+    return {std::make_unique<node_command>(), std::make_unique<publish_command>(),
+            std::make_unique<check_command>(), std::make_unique<status_command>(),
+            std::make_unique<burn_command>()};
+}
+
+void print_overview(const command_list& commands, std::ostream& out) {
+    out << "berylcrank " << BERYLCRANK_VERSION << ": load balancer driven by tickets\n\n"
+        << "usage: berylcrank <command> [options]; berylcrank <command> --help\n\n";
+    for (const auto& it : commands) {
+        out << "  " << it->name() << std::string(10 - it->name().size(), ' ') << it->summary() << "\n";
+    }
+    out << "\nexit codes: 0 ok, 1 the answer is no, 2 bad command line, 3 bad input file,\n"
+           "            4 platform or node unreachable, 5 unclear whether the ticket was published\n";
+}
+
+int run(int argc, char** argv) {
+    const auto commands = all_commands();
+    const std::string_view word = argc > 1 ? argv[1] : "";
+    if (word == "--help" || word == "-h") {
+        print_overview(commands, std::cout);
+        return static_cast<int>(exit_code::ok);
+    }
+    if (word == "--version") {
+        std::cout << "berylcrank " << BERYLCRANK_VERSION << "\n";
+        return static_cast<int>(exit_code::ok);
+    }
+    for (const auto& it : commands) {
+        if (it->name() == word) {
+            std::vector<std::string> arguments{"berylcrank " + std::string(word)};
+            arguments.insert(arguments.end(), argv + 2, argv + argc);
+            return static_cast<int>(it->run(std::move(arguments)));
+        }
+    }
+    std::cerr << (word.empty() ? "no command given" : "unknown command \"" + std::string(word) + "\"")
+              << "\n\n";
+    print_overview(commands, std::cerr);
+    return static_cast<int>(exit_code::usage);
+}
+
+} // namespace
+
+} // namespace berylcrank
+
+int main(int argc, char** argv) {
+    try {
+        return berylcrank::run(argc, argv);
+    } catch (const TCLAP::ExitException& it) {
+        return it.getExitStatus() == 0 ? 0 : static_cast<int>(berylcrank::exit_code::usage);
+    } catch (const TCLAP::ArgException& it) {
+        std::cerr << "berylcrank: " << it.error() << " " << it.argId() << "\n";
+        return static_cast<int>(berylcrank::exit_code::usage);
+    } catch (const std::exception& it) {
+        std::cerr << "berylcrank: " << it.what() << "\n";
+        return static_cast<int>(berylcrank::exit_code::failed);
+    }
+}
--- a/schema/annotations.capnp
+++ b/schema/annotations.capnp
@@ -20,4 +20,4 @@
 # One line for messages and for the generated settings page.
 
 annotation format @0xb5d1a0c1f2e34007 (field) :Text;
-# Further form of a text: "ip-port" (IPv4:port or [IPv6]:port) or "name" ([a-z0-9][a-z0-9.-]*).
+# Further form of a text: "ip-port" (IPv4:port or [IPv6]:port), "listen" (the same, port 0 allowed) or "name" ([a-z0-9][a-z0-9.-]*).
--- a/schema/record.capnp
+++ b/schema/record.capnp
@@ -60,6 +60,7 @@
   holder @1 :UInt64;
   offset @2 :UInt64;
   isHandOver @3 :Bool;
+  isFirst @4 :Bool;
 }
 
 struct ConfigState {
--- a/schema/settings.capnp
+++ b/schema/settings.capnp
@@ -14,8 +14,8 @@
   vm @0 :Text $required $format("name") $doc("Name of the vm this node runs on, as in the VM list.");
   region @1 :Text $required $format("name") $doc("Region of the vm.");
   failureDomain @2 :Text $required $format("name") $doc("Failure domain of the vm.");
-  httpAddress @3 :Text $required $format("ip-port") $doc("Address that callers connect to.");
-  rpcAddress @4 :Text $required $format("ip-port") $doc("Address that other nodes connect to.");
+  httpAddress @3 :Text $required $format("listen") $doc("Address that callers connect to; port 0 lets the kernel choose.");
+  rpcAddress @4 :Text $required $format("listen") $doc("Address that other nodes connect to; port 0 lets the kernel choose.");
   platform @5 :Platform $required;
   addresses @6 :Addresses;
   orders @7 :Orders;
--- a/standins/upstream/worker.cpp
+++ b/standins/upstream/worker.cpp
@@ -193,7 +193,7 @@
 worker::sample worker::current() const {
     return {.at = steady::now(),
             .in_flight = held(),
-            .state = settings_.drain ? "drain"
+            .state = settings_.drain ? "draining"
                      : is_cold()     ? "cold"
                                      : "warm"};
 }
--- a/standins/upstream/worker_settings.h
+++ b/standins/upstream/worker_settings.h
@@ -17,7 +17,7 @@
     unsigned cold_concurrency{1};   ///< Requests that a cold worker bears at once.
     std::uint64_t warm_requests{0}; ///< Warm after this many requests; 0: warm from the start.
     double cold_slow_factor{1};     ///< Multiplies the service time while cold.
-    bool drain{false};              ///< Reports `state=drain`; requests are still served and counted.
+    bool drain{false};              ///< Reports `state=draining`; requests are still served and counted.
     bool shed{false};               ///< Answers everything with 503 and `Berylcrank-Verdict: not-run`.
     bool retry_no{false};           ///< Shed answers carry `Berylcrank-Retry: no`.
     bool fail_fast{false};          ///< Answers `fail_status` at once.
--- a/tests/config/state_test.cpp
+++ b/tests/config/state_test.cpp
@@ -139,8 +139,7 @@
 // Guards against two nodes that both believe to hold a group.
 TEST_CASE_FIXTURE(state_fixture, "config_state, racing assignments, first one wins") {
     const auto assign = [&](std::uint64_t holder, std::uint64_t replaces) {
-        const group_assignment it{
-            .group = 3, .holder = incarnation{holder}, .replaces = incarnation{replaces}};
+        const group_record it{.group = 3, .holder = incarnation{holder}, .replaces = incarnation{replaces}};
         return subject.apply(subject.applied(), encode_assignments({&it, 1}));
     };
     CHECK(assign(10, 0) == apply_result::assigned);
--- /dev/null
+++ b/tests/process/whole_path_test.cpp
@@ -0,0 +1,52 @@
+#include "tests/support/deployment.h"
+
+#include <doctest/doctest.h>
+
+namespace berylcrank::testing {
+
+namespace {
+
+struct whole_path_fixture {
+    deployment subject{{.services = {{.name = "inventario", .request_class = "lookup"},
+                                     {.name = "pedidos", .request_class = "order"},
+                                     {.name = "planos", .request_class = "download"}}}};
+};
+
+} // namespace
+
+// Guards against a break anywhere between caller and upstream when all parts are separate processes.
+TEST_CASE_FIXTURE(whole_path_fixture, "whole path, order, lookup and download, are answered whole") {
+    const auto& node = subject.node(0);
+    const auto id = fetch_prefix(node.http_address) + ".1";
+    const auto first = send_order(node.http_address, "pedidos", id, "duct 7");
+    CAPTURE(first.body);
+    CHECK(first.status == 200);
+    CHECK(first.verdict() == "ran");
+    CHECK(first.body.find("duct 7") != std::string::npos);
+    CHECK(subject.executions(id) == 1);
+
+    const auto resent = send_order(subject.node(1).http_address, "pedidos", id, "duct 7");
+    CHECK(resent.verdict() == "ran");
+    CHECK(resent.body == first.body);
+    CHECK(subject.executions(id) == 1);
+
+    const auto lookup = send({.address = node.http_address, .path = "/s/inventario/duct/7"});
+    CHECK(lookup.status == 200);
+    CHECK(lookup.verdict() == "ran");
+
+    const auto blob = send({.address = node.http_address, .path = "/s/planos/blob/3000000/5"});
+    CHECK(blob.is_whole);
+    CHECK(blob.body == deployment::get(subject.upstream("planos-1").address, "/blob/3000000/5"));
+}
+
+TEST_CASE_FIXTURE(whole_path_fixture, "whole path, order without id, is refused as not run with a prefix") {
+    const auto answer = send({.address = subject.node(0).http_address,
+                              .method = "POST",
+                              .path = "/s/pedidos/order",
+                              .body = "duct 7"});
+    CHECK(answer.verdict() == "not-run");
+    CHECK_FALSE(answer.header("Berylcrank-Id-Prefix").empty());
+    CHECK(subject.total("executed") == 0);
+}
+
+} // namespace berylcrank::testing
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -161,7 +161,7 @@
                         {"region", shape_.region},
                         {"http_address", it.http_address},
                         {"rpc_address", it.rpc_address},
-                        {"state", "live"}});
+                        {"leaving", false}});
     }
     control(vm_list_address_, nlohmann::json{{"vms", list}}.dump());
 }
@@ -170,7 +170,7 @@
     int n = 0;
     for (const auto& it : upstreams_) {
         const auto json = nlohmann::json::parse(get(it.address, "/executions"));
-        n += json.at("by_id").value(id, 0);
+        n += json.at("executions").value(id, 0);
     }
     return n;
 }
@@ -178,7 +178,7 @@
 long deployment::total(const std::string& counter) {
     long n = 0;
     for (const auto& it : upstreams_) {
-        n += nlohmann::json::parse(get(it.address, "/executions")).at(counter).get<long>();
+        n += nlohmann::json::parse(get(it.address, "/executions")).at("counters").at(counter).get<long>();
     }
     return n;
 }
