Keep run limits in the flow and deadlines in the stand-in upstream

Cause: a target may limit the time of an attempt, and the cold gate relies on the upstream to end a running request at its deadline; neither was done. The test support reads the counters of GET /executions at the top level and the executions as by_id. Change: the attempt's timeout and Berylcrank-Timeout-Ms take the target's limit; the stand-in ends a running request at its deadline with 504. Request ids are counted up to 10,000.

--- a/modules/berylcrank_node/request/idempotent_request.cpp
+++ b/modules/berylcrank_node/request/idempotent_request.cpp
@@ -134,12 +134,17 @@
         .body = {exchange, &received.body},
         .request_id = absl::StrCat(flow_.options_.id_prefix, "-", absl::Hex(flow_.last_id_.fetch_add(1) + 1)),
         .stall = flow_.options_.stall};
-    if (deadline_ != instant::never()) {
-        const auto left = std::max(millis{1}, deadline_ - now);
-        it.headers.push_back({"Berylcrank-Timeout-Ms", std::to_string(left.count())});
-        if (is_lookup) {
-            it.timeout = left;
-        }
+    auto left = deadline_ - now;
+    if (deadline_ != instant::never() && is_lookup) {
+        it.timeout = std::max(millis{1}, left);
+    }
+    if (const auto limit = target.run_limit()) {
+        left = std::min(left, *limit);
+        it.timeout = std::max(millis{1}, std::min(it.timeout.value_or(*limit), *limit));
+    }
+    if (it.timeout || deadline_ != instant::never()) {
+        it.headers.push_back(
+            {"Berylcrank-Timeout-Ms", std::to_string(std::max<std::int64_t>(1, left.count()))});
     }
     if (stream_) {
         progress_.ask_for_rest(it.headers);
--- a/standins/upstream/upstream_handler.cpp
+++ b/standins/upstream/upstream_handler.cpp
@@ -15,13 +15,12 @@
 constexpr int crash_exit_code = 99;
 constexpr std::uint64_t max_answer_bytes = 16ULL << 20U;
 
-std::string key_of(const http_request& it) {
-    for (const auto* const name : {"Idempotency-Key", "Berylcrank-Request-Id"}) {
-        if (const auto value = find_header(it.headers, name)) {
-            return std::string(*value);
-        }
+work_key key_of(const http_request& it) {
+    if (const auto value = find_header(it.headers, "Idempotency-Key")) {
+        return {.text = std::string(*value), .is_caller_chosen = true};
     }
-    return {};
+    return {.text = std::string(find_header(it.headers, "Berylcrank-Request-Id").value_or("")),
+            .is_caller_chosen = false};
 }
 
 } // namespace
@@ -89,9 +88,10 @@
         answer_json(*it, 200, {{"executions", worker_.executions(std::string(*key))}});
         return;
     }
-    nlohmann::json document{{"counters", worker_.counters()}, {"in_flight", worker_.in_flight()}};
+    nlohmann::json document = worker_.counters();
+    document["in_flight"] = worker_.in_flight();
     if (!it->request().path.ends_with("?brief")) {
-        document["executions"] = worker_.all_executions();
+        document["by_id"] = worker_.all_executions();
     }
     answer_json(*it, 200, document);
 }
@@ -140,6 +140,8 @@
     const auto settings = worker_.settings();
     if (end == job_end::failed_fast) {
         head.status = settings.fail_status;
+    } else if (end == job_end::expired) {
+        head.status = 504;
     } else {
         head.headers.push_back({"Berylcrank-Verdict", "not-run"});
         if (settings.retry_no) {
--- a/standins/upstream/upstream_handler.h
+++ b/standins/upstream/upstream_handler.h
@@ -9,7 +9,8 @@
 
     - `GET /load`: a probe.
     - `GET /control`, `POST /control`: settings; `{"cool": true}` and `{"restart": true}` make it cold again.
-    - `GET /executions`: counters and executions per key; `?key=K` for one key, `?brief` for counters only.
+    - `GET /executions`: counters and, as `by_id`, executions per `Idempotency-Key` or request id; `?key=K`
+      for one of them, `?brief` for counters only.
     - `GET .../blob/<size>/<seed>`: a download.
     - anything else is work: its answer echoes the body, or describes the request if there is none. `?bytes=N`
       gives an answer of that size.
--- a/standins/upstream/worker.cpp
+++ b/standins/upstream/worker.cpp
@@ -11,8 +11,9 @@
 
 namespace {
 
-// Keys beyond this are not counted, so that a long load run does not fill the memory.
-constexpr std::size_t max_keys = 2'000'000;
+// Keys beyond this are not counted, so that a long load run fills neither the memory nor `GET /executions`.
+constexpr std::size_t max_caller_keys = 2'000'000;
+constexpr std::size_t max_request_ids = 10'000;
 
 millis timeout_of(const http_request& it) {
     const auto text = find_header(it.headers, "Berylcrank-Timeout-Ms");
@@ -28,7 +29,7 @@
 struct worker::job {
     enum class phase : std::uint8_t { waiting, running, over };
 
-    std::string key;
+    work_key key;
     on_end end;
     steady::time_point deadline;
     phase state{phase::waiting}; ///< Guarded by the worker's lock.
@@ -38,9 +39,9 @@
 worker::worker(const worker_settings& it, std::uint64_t incarnation)
     : settings_(it), incarnation_(incarnation), random_(std::make_unique<seeded_random>(it.seed)) {}
 
-void worker::submit(const std::shared_ptr<http_exchange>& exchange, const std::string& key, on_end end) {
+void worker::submit(const std::shared_ptr<http_exchange>& exchange, work_key key, on_end end) {
     const auto it = std::make_shared<job>();
-    it->key = key;
+    it->key = std::move(key);
     it->end = std::move(end);
     it->deadline = steady::now() + timeout_of(exchange->request()).to_chrono();
     std::optional<job_end> refused;
@@ -91,22 +92,34 @@
 }
 
 void worker::run(const std::shared_ptr<job>& it) {
+    auto end = job_end::completed;
     {
         const lock_guard hold(mutex_);
         ++counters_.executed;
-        if (executions_.size() < max_keys && !it->key.empty()) {
-            counters_.repeated += executions_[it->key]++ != 0 ? 1 : 0;
-        }
+        count_execution(it->key);
         it->service = draw_service();
+        const auto left = millis::from_micros(
+            std::chrono::duration_cast<std::chrono::microseconds>(it->deadline - steady::now()).count());
+        if (left < it->service) {
+            it->service = left;
+            end = job_end::expired;
+        }
     }
-    if (it->service.micros() <= 0) {
-        complete(it);
+    if (it->service <= millis{}) {
+        complete(it, end);
     } else {
-        timers_.call_after(it->service, [this, it] { complete(it); });
+        timers_.call_after(it->service, [this, it, end] { complete(it, end); });
+    }
+}
+
+void worker::count_execution(const work_key& key) {
+    const auto limit = key.is_caller_chosen ? max_caller_keys : max_request_ids;
+    if (!key.text.empty() && executions_.size() < limit) {
+        counters_.repeated += executions_[key.text]++ != 0 ? 1 : 0;
     }
 }
 
-void worker::complete(const std::shared_ptr<job>& it) {
+void worker::complete(const std::shared_ptr<job>& it, job_end end) {
     {
         const lock_guard hold(mutex_);
         if (it->state != job::phase::running) {
@@ -114,11 +127,11 @@
         }
         it->state = job::phase::over;
         --running_;
-        ++counters_.completed;
+        ++(end == job_end::completed ? counters_.completed : counters_.expired_running);
         ++served_since_cold_;
         note_change();
     }
-    std::exchange(it->end, nullptr)(job_end::completed);
+    std::exchange(it->end, nullptr)(end);
     run_next();
 }
 
--- a/standins/upstream/worker.h
+++ b/standins/upstream/worker.h
@@ -24,6 +24,7 @@
     std::uint64_t shed{0};      ///< Answered with `not-run`.
     std::uint64_t failed_fast{0};
     std::uint64_t expired{0};           ///< Deadline passed while waiting for a slot.
+    std::uint64_t expired_running{0};   ///< Ended at the deadline while running.
     std::uint64_t cancelled_waiting{0}; ///< Connection lost while waiting for a slot.
     std::uint64_t cancelled_running{0}; ///< Connection lost while running.
     std::uint64_t max_in_flight{0};
@@ -35,11 +36,22 @@
 };
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(worker_counters, received, executed, completed, shed, failed_fast, expired,
-                                   cancelled_waiting, cancelled_running, max_in_flight, cold_violations,
-                                   received_in_drain, probes, faults, repeated)
+                                   expired_running, cancelled_waiting, cancelled_running, max_in_flight,
+                                   cold_violations, received_in_drain, probes, faults, repeated)
 
 /** What becomes of a request. @see worker::submit */
-enum class job_end : std::uint8_t { completed, shed, failed_fast };
+enum class job_end : std::uint8_t {
+    completed,
+    shed,    ///< Did not run.
+    expired, ///< Ended at its deadline while running.
+    failed_fast,
+};
+
+/** What executions are counted under. @see worker::submit */
+struct work_key {
+    std::string text;
+    bool is_caller_chosen{false}; ///< An `Idempotency-Key`; request ids differ with every attempt.
+};
 
 /** A worker with slots and an internal queue, which can be cold, draining, slow or failing. */
 class worker {
@@ -49,7 +61,7 @@
     worker(const worker_settings& it, std::uint64_t incarnation);
 
     /** Runs a request that is counted under `key`; `end` is called unless the request is cancelled. */
-    void submit(const std::shared_ptr<http_exchange>& exchange, const std::string& key, on_end end);
+    void submit(const std::shared_ptr<http_exchange>& exchange, work_key key, on_end end);
 
     /** Value of the `Berylcrank-Load` header. */
     std::string load_report();
@@ -82,7 +94,8 @@
 
     std::optional<job_end> admit(const std::shared_ptr<job>& it) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void run(const std::shared_ptr<job>& it);
-    void complete(const std::shared_ptr<job>& it);
+    void count_execution(const work_key& key) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    void complete(const std::shared_ptr<job>& it, job_end end);
     void cancel(const std::shared_ptr<job>& it);
     std::shared_ptr<job> next_job(std::vector<std::shared_ptr<job>>& expired)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
