Test misjudged attempts and stalled streams in order_flow

Cause: three trial mutants of order_attempt passed: the client's verdict trusted alone, a second question of may_send ignored, a caller that left blocks the stream. Change: the fake client reports a wrong 'not run', a shed answer after a second send, and a stall when the stream takes no more.

--- a/tests/node/order_flow_test.cpp
+++ b/tests/node/order_flow_test.cpp
@@ -47,7 +47,8 @@
         {{upstream_mood::reset_after}, "may-have-run"},
         {{upstream_mood::reset_before}, "may-have-run"},
         {{upstream_mood::truncated}, "may-have-run"},
-        {{upstream_mood::sent_twice}, "may-have-run"}};
+        {{upstream_mood::sent_twice}, "may-have-run"},
+        {{upstream_mood::misjudged}, "may-have-run"}};
     for (const auto& [moods, expected] : cases) {
         CAPTURE(expected);
         world.moods.assign(moods.begin(), moods.end());
--- a/tests/node/order_world.cpp
+++ b/tests/node/order_world.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-constexpr std::array mood_names{"good",        "unreachable",  "denied",    "shed",
-                                "reset after", "reset before", "truncated", "sent twice"};
+constexpr std::array mood_names{"good",         "unreachable", "denied",     "shed",     "reset after",
+                                "reset before", "truncated",   "sent twice", "misjudged"};
 
 class fake_target final : public attempt_target {
 public:
@@ -105,7 +105,10 @@
             return;
         case upstream_mood::sent_twice:
             REQUIRE_FALSE(observer.may_send({}));
-            observer.on_done({.end = attempt_end::denied, .verdict = run_verdict::not_run});
+            observer.on_done({.end = attempt_end::shed, .verdict = run_verdict::not_run});
+            return;
+        case upstream_mood::misjudged:
+            observer.on_done({.end = attempt_end::reset, .verdict = run_verdict::not_run});
             return;
         case upstream_mood::good:
         case upstream_mood::truncated:
@@ -123,7 +126,11 @@
                 {.end = attempt_end::truncated, .verdict = run_verdict::may_have_run, .status = 200});
             return;
         }
-        observer.on_body(part);
+        if (!observer.on_body(part)) {
+            observer.on_done(
+                {.end = attempt_end::stalled, .verdict = run_verdict::may_have_run, .status = 200});
+            return;
+        }
         observer.on_done({.end = attempt_end::complete, .verdict = run_verdict::ran, .status = 200});
     }
 
--- a/tests/node/order_world.h
+++ b/tests/node/order_world.h
@@ -23,6 +23,7 @@
     reset_before, ///< Resets the connection after receipt, without running the order.
     truncated,    ///< Runs the order, answers a part.
     sent_twice,   ///< The HTTP library is about to send the order again.
+    misjudged,    ///< Runs the order; the client wrongly reports that it did not run.
     count_of_moods,
 };
 
