Test RPC with garbled and oversized messages and several threads

Guards against a node that anything reaching its port can crash, block or fill. Change: mutated copies of a captured call (300), garbled answers (50), headers that claim large messages, a body at the limit and one above it, four calling threads.

--- /dev/null
+++ b/tests/rpc/garbled_test.cpp
@@ -0,0 +1,105 @@
+#include "modules/berylcrank_core/random/random_source.h"
+#include "tests/rpc/peer_fixture.h"
+#include "tests/rpc/raw_socket.h"
+
+#include <thread>
+
+namespace berylcrank::testing {
+
+namespace {
+
+/** The bytes that a client sends for one relayed order. */
+std::string captured_call(peer_endpoint& client) {
+    const auto listener = raw_socket::listening();
+    pending_call<order_answer> call;
+    client.relay_order(listener.address(),
+                       {.id = "a-1-1-1.1", .method = "POST", .headers = {{"A", "b"}}, .body = "body"},
+                       millis{20000}, call.callback());
+    const auto connection = listener.accept();
+    std::string bytes;
+    while (bytes.find("body") == std::string::npos) {
+        bytes += connection.receive();
+    }
+    return bytes;
+}
+
+std::string garble(std::string bytes, random_source& random) {
+    for (auto n = 1 + random.below(8); n > 0; --n) {
+        bytes[random.below(bytes.size())] = static_cast<char>(random.next());
+    }
+    return random.below(4) == 0 ? bytes.substr(0, random.below(bytes.size())) : bytes;
+}
+
+} // namespace
+
+// Guards against a node that other nodes, or anything that reaches its port, can crash or block.
+TEST_CASE_FIXTURE(peer_fixture, "peer_endpoint, garbled calls, connection ends and the node keeps serving") {
+    const auto call = captured_call(*client);
+    seeded_random random(3);
+    for (int n = 0; n < 300; ++n) {
+        CAPTURE(n);
+        const auto connection = raw_socket::connected(server->address());
+        connection.send(garble(call, random));
+        connection.end_sending();
+        connection.wait_closed();
+    }
+    CHECK(relay({.method = "POST", .body = "x"}).answer.body == "x");
+}
+
+// Guards against memory taken by a message that only claims to be large, and by one that is.
+TEST_CASE_FIXTURE(peer_fixture, "peer_endpoint, oversized message, connection ends without waiting for it") {
+    const std::string one_segment(4, '\0');
+    for (const auto& head :
+         {one_segment + std::string("\0\0\0\x10", 4), one_segment + std::string("\xff\xff\xff\xff", 4),
+          std::string("\xff\xff\xff\x7f", 4) + std::string(4, '\0'), std::string(8, '\xff')}) {
+        const auto connection = raw_socket::connected(server->address());
+        connection.send(head + std::string(64, 'x'));
+        connection.wait_closed();
+    }
+    CHECK(relay({.method = "POST", .body = std::string(options.message_bytes, 'x')}).failure ==
+          peer_failure::invalid);
+    const std::string body(options.message_bytes - 4096, 'x');
+    CHECK(relay({.method = "POST", .body = body}).answer.body == body);
+}
+
+// Guards against a client that a garbled answer crashes or leaves waiting.
+TEST_CASE_FIXTURE(peer_fixture, "peer_endpoint, garbled answers, call fails") {
+    seeded_random random(4);
+    for (int n = 0; n < 50; ++n) {
+        const auto listener = raw_socket::listening();
+        pending_call<order_answer> call;
+        client->relay_order(listener.address(), {.method = "POST"}, millis{20000}, call.callback());
+        const auto connection = listener.accept();
+        REQUIRE_FALSE(connection.receive().empty());
+        std::string bytes(static_cast<std::size_t>(8 + random.below(200)), '\0');
+        for (auto& it : bytes) {
+            it = static_cast<char>(random.below(4) == 0 ? random.next() : 0);
+        }
+        connection.send(bytes);
+        connection.end_sending();
+        CHECK(call.wait().failure != peer_failure::none);
+    }
+}
+
+// Guards against data races between callers' threads and the RPC thread.
+TEST_CASE_FIXTURE(peer_fixture, "peer_endpoint, calls from several threads, each gets its own answer") {
+    std::vector<std::thread> threads;
+    std::atomic<int> wrong{0};
+    for (int t = 0; t < 4; ++t) {
+        threads.emplace_back([&, t] {
+            for (int n = 0; n < 200; ++n) {
+                const auto text = std::to_string(t) + "-" + std::to_string(n);
+                pending_call<order_answer> call;
+                client->relay_order(server->address(), {.method = "POST", .body = text}, millis{20000},
+                                    call.callback());
+                wrong += call.promise->get_future().get().answer.body == text ? 0 : 1;
+            }
+        });
+    }
+    for (auto& it : threads) {
+        it.join();
+    }
+    CHECK(wrong == 0);
+}
+
+} // namespace berylcrank::testing
