Honour no-retry of upstreams; call a repeated real id 'may have run'

Cause: a shed answer with Berylcrank-Retry: no was retried. A request with two Idempotency-Key headers got 'not run', though a copy of either id may have run before. Ruled out: 'not run' for every repeated header; it is true of this copy, but callers read it as a statement about the id. Change: no second upstream after such a shed, and the mark goes up the chain; a repeated header is 'not run' only if no value can be an id that was dispatched.

--- a/modules/berylcrank_node/request/order_attempt.cpp
+++ b/modules/berylcrank_node/request/order_attempt.cpp
@@ -103,7 +103,7 @@
         return;
     }
     if (verdict == run_verdict::not_run) {
-        run_->on_not_run(*dispatched_, upstream);
+        run_->on_not_run(*dispatched_, upstream, find_header(it.shed.headers, "Berylcrank-Retry") != "no");
         return;
     }
     run_->on_ended(*dispatched_, answer_for(it, verdict));
--- a/modules/berylcrank_node/request/order_flow.cpp
+++ b/modules/berylcrank_node/request/order_flow.cpp
@@ -2,6 +2,9 @@
 
 #include "modules/berylcrank_node/request/order_headers.h"
 
+#include <algorithm>
+#include <vector>
+
 namespace berylcrank {
 
 namespace {
@@ -15,23 +18,19 @@
     return {.verdict = verdict, .status = status, .reason = std::move(reason)};
 }
 
-order_answer invalid(std::string reason) {
-    return plain(run_verdict::not_run, http_bad_request, std::move(reason));
-}
+constexpr std::string_view id_header = "Idempotency-Key";
 
-/** What is wrong with the ids of a request; empty if there is exactly one well-formed id, which goes to
- * `out`. */
-std::string read_id(std::span<const http_header> headers, std::optional<request_id>& out) {
-    constexpr std::string_view name = "Idempotency-Key";
-    switch (count_headers(headers, name)) {
-    case 0:
-        return "Idempotency-Key is missing";
-    case 1:
-        out = parse_request_id(*find_header(headers, name));
-        return out.has_value() ? "" : "Idempotency-Key is not of the form <prefix>.<number>";
-    default:
-        return "Idempotency-Key is repeated";
+std::vector<request_id> read_ids(std::span<const http_header> headers) {
+    std::vector<request_id> out;
+    for (const auto& it : headers) {
+        if (count_headers({&it, 1}, id_header) == 0) {
+            continue;
+        }
+        if (const auto id = parse_request_id(it.value)) {
+            out.push_back(*id);
+        }
     }
+    return out;
 }
 
 /** The answer for a copy that is neither run nor waited for. */
@@ -55,24 +54,43 @@
     ++counters_.received;
     const auto& request = it->request();
     auto reply = std::make_shared<http_order_reply>(it, parts_.minter, parts_.time);
-    std::optional<request_id> id;
-    if (auto wrong = read_id(request.headers, id); !wrong.empty()) {
-        ++counters_.invalid;
-        reply->send(invalid(std::move(wrong)));
+    const auto ids = read_ids(request.headers);
+    if (ids.size() != 1 || count_headers(request.headers, id_header) != 1) {
+        refuse_invalid(ids, count_headers(request.headers, id_header), *reply);
         return;
     }
-    order_request order{.id = to_string(*id),
+    const auto& id = ids.front();
+    order_request order{.id = to_string(id),
                         .service = call.service,
                         .method = request.method,
                         .path = call.path,
                         .headers = forwarded_headers(request.headers),
                         .body = request.body,
                         .timeout = call.timeout};
-    if (id->home == parts_.minter.self()) {
-        run_here(std::move(order), *id, std::move(reply));
+    if (id.home == parts_.minter.self()) {
+        run_here(std::move(order), id, std::move(reply));
     } else {
-        relay(std::move(order), *id, std::move(reply));
+        relay(std::move(order), id, std::move(reply));
+    }
+}
+
+void order_flow::refuse_invalid(std::span<const request_id> ids, std::size_t headers, order_reply& reply) {
+    ++counters_.invalid;
+    if (headers == 0) {
+        reply.send(plain(run_verdict::not_run, http_bad_request, "Idempotency-Key is missing"));
+        return;
+    }
+    if (headers == 1) {
+        reply.send(plain(run_verdict::not_run, http_bad_request,
+                         "Idempotency-Key is not of the form <prefix>.<number>"));
+        return;
     }
+    // Each of the ids may have run under another copy, at this node or another.
+    const bool is_known_not_run = std::ranges::all_of(ids, [this](const request_id& it) {
+        return it.home == parts_.minter.self() && !parts_.minter.is_genuine(it);
+    });
+    reply.send(plain(is_known_not_run ? run_verdict::not_run : run_verdict::may_have_run, http_bad_request,
+                     "Idempotency-Key is repeated"));
 }
 
 void order_flow::handle_relayed(order_request it, std::function<void(order_answer)> reply) {
@@ -90,7 +108,8 @@
 void order_flow::run_here(order_request it, const request_id& id, std::shared_ptr<order_reply> reply) {
     if (!parts_.minter.is_genuine(id)) {
         ++counters_.invalid;
-        reply->send(invalid("Idempotency-Key was not handed out by this node"));
+        reply->send(
+            plain(run_verdict::not_run, http_bad_request, "Idempotency-Key was not handed out by this node"));
         return;
     }
     const auto digest = digest_of(it);
--- a/modules/berylcrank_node/request/order_flow.h
+++ b/modules/berylcrank_node/request/order_flow.h
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <span>
 #include <string>
 
 namespace berylcrank {
@@ -60,6 +61,7 @@
     [[nodiscard]] const counters& count() const { return counters_; }
 
 private:
+    void refuse_invalid(std::span<const request_id> ids, std::size_t headers, order_reply& reply);
     void run_here(order_request it, const request_id& id, std::shared_ptr<order_reply> reply);
     void relay(order_request it, const request_id& id, std::shared_ptr<order_reply> reply);
     void on_relayed(peer_failure failure, const order_answer& answer, order_reply& reply);
--- a/modules/berylcrank_node/request/order_run.cpp
+++ b/modules/berylcrank_node/request/order_run.cpp
@@ -47,10 +47,15 @@
     try_next(upstream);
 }
 
-void order_run::on_not_run(std::uint32_t attempt, const std::string& upstream) {
-    if (parts_.table.attempt_not_run(id_, attempt)) {
+void order_run::on_not_run(std::uint32_t attempt, const std::string& upstream, bool is_retry_useful) {
+    if (!parts_.table.attempt_not_run(id_, attempt)) {
+        return;
+    }
+    if (is_retry_useful) {
         try_next(upstream);
+        return;
     }
+    refuse(http_unavailable, "the upstream is overloaded", false);
 }
 
 void order_run::on_ended(std::uint32_t attempt, order_answer answer) {
--- a/modules/berylcrank_node/request/order_run.h
+++ b/modules/berylcrank_node/request/order_run.h
@@ -47,8 +47,9 @@
     /** An attempt ended before `begin_dispatch` allowed it. */
     void on_not_sent(const std::string& upstream);
 
-    /** A dispatched attempt is proven not to have run. */
-    void on_not_run(std::uint32_t attempt, const std::string& upstream);
+    /** A dispatched attempt is proven not to have run. `is_retry_useful` is false if the upstream's answer
+       asks for no retry, because it is overloaded. */
+    void on_not_run(std::uint32_t attempt, const std::string& upstream, bool is_retry_useful);
 
     /** A dispatched attempt ran or may have run. */
     void on_ended(std::uint32_t attempt, order_answer answer);
--- a/tests/node/order_flow_test.cpp
+++ b/tests/node/order_flow_test.cpp
@@ -59,24 +59,41 @@
     }
 }
 
-// Guards against "not run" for an id that is known under another form or by another node, and against answers
-// without the headers that a caller needs (checked by the fake exchange).
-TEST_CASE_FIXTURE(order_flow_fixture, "order_flow, no valid id, refused as not run") {
+// Guards against running what has no valid id, and against "not run" for a real id that is sent twice in one
+// request. That all answers carry verdict and prefix is checked by the fake exchange.
+TEST_CASE_FIXTURE(order_flow_fixture,
+                  "order_flow, no single valid id, refused and not run unless a real id is among them") {
     const auto id = world.mint(0);
-    const auto forged = "00000000000000a0-0-7-1234.1";
-    for (const auto& headers :
-         std::vector<std::vector<http_header>>{{},
-                                               {{"Idempotency-Key", id}, {"idempotency-key", id}},
-                                               {{"Idempotency-Key", "x"}},
-                                               {{"Idempotency-Key", forged}}}) {
+    const std::string forged = "00000000000000a0-0-7-1234.1";
+    const auto key = [](const std::string& it) { return http_header{"Idempotency-Key", it}; };
+    const std::vector<std::pair<std::vector<http_header>, std::string>> cases{
+        {{}, "not-run"},
+        {{key("x")}, "not-run"},
+        {{key(id + " ")}, "not-run"},
+        {{key(forged)}, "not-run"},
+        {{key("x"), key(forged)}, "not-run"},
+        {{key(id), {"idempotency-key", id}}, "may-have-run"},
+        {{key("x"), key(world.mint(1))}, "may-have-run"}};
+    for (const auto& [headers, expected] : cases) {
         const auto it =
             std::make_shared<fake_exchange>(world, http_request{.method = "POST", .headers = headers});
         world.nodes[0]->flow->handle(it, {.service = "pedidos", .path = "/", .timeout = millis{100}});
         REQUIRE(it->answered.has_value());
         CHECK(it->answered->head.status == 400);
-        CHECK(it->verdict() == "not-run");
+        CHECK(it->verdict() == expected);
     }
-    CHECK(world.nodes[0]->flow->count().invalid == 4);
+    CHECK(world.nodes[0]->flow->count().invalid == cases.size());
+    CHECK_FALSE(world.has_steps());
+}
+
+// Guards against retries that an overloaded upstream asks not to make, here and at the caller.
+TEST_CASE_FIXTURE(order_flow_fixture, "order_flow, shed without retry, refused at once and marked") {
+    world.moods = {upstream_mood::shed_no_retry, upstream_mood::good};
+    const auto it = world.send(0, world.mint(0));
+    world.run_all();
+    CHECK(it->verdict() == "not-run");
+    CHECK(find_header(it->answered->head.headers, "Berylcrank-Retry") == "no");
+    CHECK(world.moods.size() == 1);
 }
 
 // Guards against "not run" from a node that is not the home.
--- a/tests/node/order_world.cpp
+++ b/tests/node/order_world.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-constexpr std::array mood_names{"good",         "unreachable", "denied",     "shed",     "reset after",
-                                "reset before", "truncated",   "sent twice", "misjudged"};
+constexpr std::array mood_names{"good",        "unreachable",  "denied",    "shed",       "shed, no retry",
+                                "reset after", "reset before", "truncated", "sent twice", "misjudged"};
 
 class fake_target final : public attempt_target {
 public:
@@ -90,7 +90,8 @@
         } else {
             // Sent bytes arrive even if the node ends now.
             world_.post(*world_.nodes.front(), [this, mood, request, observer] {
-                if (mood != upstream_mood::shed && mood != upstream_mood::reset_before) {
+                if (mood != upstream_mood::shed && mood != upstream_mood::shed_no_retry &&
+                    mood != upstream_mood::reset_before) {
                     world_.executed(request.request_id);
                 }
                 world_.post(node_, [this, mood, observer] { answer(mood, *observer); });
@@ -103,6 +104,12 @@
         case upstream_mood::shed:
             observer.on_done({.end = attempt_end::shed, .verdict = run_verdict::not_run, .status = 503});
             return;
+        case upstream_mood::shed_no_retry:
+            observer.on_done({.end = attempt_end::shed,
+                              .verdict = run_verdict::not_run,
+                              .status = 503,
+                              .shed = {.status = 503, .headers = {{"Berylcrank-Retry", "no"}}}});
+            return;
         case upstream_mood::sent_twice:
             REQUIRE_FALSE(observer.may_send({}));
             observer.on_done({.end = attempt_end::shed, .verdict = run_verdict::not_run});
--- a/tests/node/order_world.h
+++ b/tests/node/order_world.h
@@ -16,14 +16,15 @@
 /** How an upstream treats one attempt. */
 enum class upstream_mood : std::uint8_t {
     good,
-    unreachable,  ///< The connection is refused.
-    denied,       ///< The target's own check says no.
-    shed,         ///< Explicit not-run answer.
-    reset_after,  ///< Runs the order, then resets the connection.
-    reset_before, ///< Resets the connection after receipt, without running the order.
-    truncated,    ///< Runs the order, answers a part.
-    sent_twice,   ///< The HTTP library is about to send the order again.
-    misjudged,    ///< Runs the order; the client wrongly reports that it did not run.
+    unreachable,   ///< The connection is refused.
+    denied,        ///< The target's own check says no.
+    shed,          ///< Explicit not-run answer.
+    shed_no_retry, ///< The same with `Berylcrank-Retry: no`.
+    reset_after,   ///< Runs the order, then resets the connection.
+    reset_before,  ///< Resets the connection after receipt, without running the order.
+    truncated,     ///< Runs the order, answers a part.
+    sent_twice,    ///< The HTTP library is about to send the order again.
+    misjudged,     ///< Runs the order; the client wrongly reports that it did not run.
     count_of_moods,
 };
 
