--- /dev/null
+++ b/tests/membership/address_book_test.cpp
@@ -0,0 +1,109 @@
+#include "modules/berylcrank_membership/berylcrank_membership.h"
+
+#include <doctest/doctest.h>
+#include <map>
+
+namespace berylcrank {
+
+namespace {
+
+struct book_fixture {
+    address_book subject{{.keep = millis{5000}, .count = 3}};
+    std::vector<peer_member> members;
+
+    book_fixture() {
+        for (int i = 0; i < 9; ++i) {
+            const auto name = std::string(1, static_cast<char>('a' + i));
+            members.push_back({.info = {.vm = name,
+                                        .run = incarnation{static_cast<std::uint64_t>(i) + 1},
+                                        .failure_domain = "fd-" + std::to_string(i % 3),
+                                        .http_address = name}});
+        }
+    }
+    void update(const std::string& out_of_use = "") {
+        subject.update(members, [&](std::string_view it) { return it != out_of_use; });
+    }
+    std::map<std::string, int> shares(std::string_view domain, int asks) {
+        std::map<std::string, int> out;
+        for (int i = 0; i < asks; ++i) {
+            for (const auto& it : subject.answer(domain).addresses) {
+                ++out[it];
+            }
+        }
+        return out;
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(book_fixture,
+                  "address_book, all alive, spreads evenly and puts the caller's failure domain first") {
+    update();
+    const auto all = shares("", 90);
+    CHECK(all.size() == 9);
+    for (const auto& [address, count] : all) {
+        CHECK(count == 30);
+    }
+    for (const auto& it : subject.answer("fd-1").addresses) {
+        CHECK((it == "b" || it == "e" || it == "h"));
+    }
+    CHECK(subject.answer("").keep == millis{5000});
+}
+
+// Guards against callers that are sent to nodes which are about to exit.
+TEST_CASE_FIXTURE(book_fixture, "address_book, all leaving but one, gives that one; all leaving, gives all") {
+    for (std::size_t i = 1; i < members.size(); ++i) {
+        members[i].state = peer_state::leaving;
+    }
+    update();
+    CHECK(subject.answer("fd-1").addresses == std::vector<std::string>{"a"});
+    members[0].state = peer_state::leaving;
+    update();
+    CHECK(subject.answer("").addresses.size() == 3);
+}
+
+TEST_CASE_FIXTURE(book_fixture,
+                  "address_book, failure domain taken out, leaves its nodes out until all are") {
+    update("fd-0");
+    CHECK(shares("fd-0", 60).size() == 6);
+    CHECK_FALSE(shares("", 60).contains("a"));
+    subject.update(members, [](std::string_view) { return false; });
+    CHECK(shares("", 60).size() == 9);
+}
+
+// Guards against a fault at this node that takes most of the others out of its answers.
+TEST_CASE_FIXTURE(book_fixture, "address_book, more than a third silent, keeps silent ones in") {
+    for (int i = 0; i < 3; ++i) {
+        members[i].state = peer_state::silent;
+    }
+    update();
+    CHECK_FALSE(subject.is_fail_open());
+    CHECK(shares("", 60).size() == 6);
+    members[3].state = peer_state::silent;
+    update();
+    CHECK(subject.is_fail_open());
+    CHECK(shares("", 60).size() == 9);
+}
+
+// Guards against an exit while callers still hold this node's address or wait for an answer.
+TEST_CASE("leave_rule, stop, waits for news, keep time and requests") {
+    leave_rule subject{{.keep = millis{5000}, .tell_limit = millis{3000}, .idle = millis{200}}};
+    const auto at = [](int ms) { return instant{millis{ms}}; };
+    CHECK_FALSE(subject.may_exit(0, 0, at(0)));
+    subject.start(at(0));
+    CHECK_FALSE(subject.may_exit(2, 0, at(1000)));
+    CHECK_FALSE(subject.may_exit(0, 0, at(2000))); // All told: keep time starts here.
+    CHECK_FALSE(subject.may_exit(0, 1, at(7000))); // A request is in flight.
+    CHECK_FALSE(subject.may_exit(0, 0, at(7100)));
+    CHECK(subject.may_exit(0, 0, at(7300)));
+}
+
+TEST_CASE("leave_rule, peer that is never told, does not hold up the exit for ever") {
+    leave_rule subject{{.keep = millis{5000}, .tell_limit = millis{3000}, .idle = millis{200}}};
+    subject.start(instant{});
+    CHECK_FALSE(subject.may_exit(1, 0, instant{millis{3000}}));
+    CHECK_FALSE(subject.may_exit(1, 0, instant{millis{7999}}));
+    CHECK(subject.may_exit(1, 0, instant{millis{8000}}));
+}
+
+} // namespace berylcrank
--- /dev/null
+++ b/tests/membership/peer_view_test.cpp
@@ -0,0 +1,210 @@
+#include "modules/berylcrank_membership/berylcrank_membership.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <set>
+
+namespace berylcrank {
+
+namespace {
+
+constexpr instant start{millis{100000}};
+
+peer_info info_of(int vm, std::uint64_t run) {
+    const auto name = "vm-" + std::to_string(vm);
+    return {.vm = name,
+            .run = incarnation{run},
+            .failure_domain = "fd-" + std::to_string(vm % 3),
+            .http_address = name + ":80",
+            .rpc_address = name + ":81"};
+}
+
+std::vector<vm_seed> list_of(int count) {
+    std::vector<vm_seed> out;
+    for (int i = 0; i < count; ++i) {
+        const auto it = info_of(i, 1);
+        out.push_back({it.vm, it.failure_domain, "r", it.http_address, it.rpc_address, false});
+    }
+    return out;
+}
+
+gossip_message from(const peer_info& it) {
+    return {.sender = it};
+}
+
+peer_info told(peer_info it, millis ago) {
+    it.heard_ago = ago;
+    return it;
+}
+
+/** vm-0 with run 1 is the node itself; vm-1 to vm-4 have runs 11 to 14 and were just heard. */
+struct view_fixture {
+    peer_view subject{{.self = info_of(0, 1)}};
+    seeded_random random{1};
+    instant now{start};
+
+    view_fixture() {
+        subject.apply_vm_list(list_of(5), now);
+        for (int i = 1; i < 5; ++i) {
+            hear(i);
+        }
+    }
+    void hear(int vm) { subject.on_message(from(info_of(vm, 10 + vm)), now); }
+    gossip_target target(int vm, std::uint64_t run) const {
+        return {info_of(vm, run).vm, incarnation{run}, info_of(vm, run).rpc_address};
+    }
+    peer_state state(std::uint64_t run) const { return *subject.state(incarnation{run}, now); }
+};
+
+} // namespace
+
+// Guards against dropping a node that only this node cannot reach.
+TEST_CASE_FIXTURE(view_fixture, "peer_view, one observer of silence among several, keeps the peer alive") {
+    now = now + millis{2000};
+    for (const int vm : {2, 3, 4}) {
+        hear(vm);
+    }
+    subject.on_unanswered(target(1, 11), now - millis{100});
+    CHECK(state(11) == peer_state::alive);
+    auto other = from(info_of(2, 12));
+    other.peers = {told(info_of(1, 11), millis{100})}; // One-way silence: vm-2 does hear it.
+    subject.on_message(other, now);
+    CHECK(state(11) == peer_state::alive);
+    CHECK(subject.heard_fraction(millis{500}, now) == doctest::Approx(1.0));
+}
+
+TEST_CASE_FIXTURE(view_fixture,
+                  "peer_view, three observers of silence, counts the peer as silent until it is heard") {
+    now = now + millis{2000};
+    for (const int vm : {2, 3, 4}) {
+        hear(vm);
+    }
+    subject.on_unanswered(target(1, 11), now - millis{100});
+    for (const int vm : {2, 3}) {
+        auto other = from(info_of(vm, 10 + vm));
+        other.peers = {told(info_of(1, 11), millis{1900})};
+        subject.on_message(other, now);
+    }
+    CHECK(state(11) == peer_state::silent);
+    CHECK_FALSE(subject.has_ended(incarnation{11}, now)); // Silence alone replaces no holder.
+    now = now + millis{1};
+    hear(1);
+    CHECK(state(11) == peer_state::alive);
+}
+
+// Guards against taking over a holder's groups on hearsay, and against never taking them over.
+TEST_CASE_FIXTURE(view_fixture,
+                  "peer_view, newer run on a vm, makes the older gone and proves it by a reply") {
+    now = now + millis{10};
+    subject.on_message(from(info_of(1, 21)), now);
+    CHECK(state(11) == peer_state::gone);
+    CHECK(state(21) == peer_state::alive);
+    CHECK_FALSE(subject.has_ended(incarnation{11}, now));
+    subject.on_reply(from(info_of(1, 21)), "vm-1:81", now + millis{5}, now + millis{6});
+    CHECK(subject.has_ended(incarnation{11}, now));
+    CHECK_FALSE(subject.rpc_address(incarnation{11}).has_value());
+    CHECK(subject.rpc_address(incarnation{21}) == "vm-1:81");
+}
+
+// Guards against a message of an earlier run, delivered late, that hides the living one for good.
+TEST_CASE_FIXTURE(view_fixture, "peer_view, late news of an earlier run, is corrected by the next reply") {
+    subject.on_message(from(info_of(1, 5)), now);
+    CHECK(state(11) == peer_state::gone);
+    subject.on_reply(from(info_of(1, 11)), "vm-1:81", now + millis{1}, now + millis{2});
+    CHECK(state(11) == peer_state::alive);
+    CHECK(state(5) == peer_state::gone);
+    auto other = from(info_of(2, 12));
+    other.peers = {told(info_of(1, 5), millis{0})};
+    subject.on_message(other, now + millis{50});
+    CHECK(state(11) == peer_state::alive);
+}
+
+TEST_CASE_FIXTURE(view_fixture, "peer_view, refused connection, makes that run gone") {
+    subject.on_refused(target(1, 11), now);
+    CHECK(state(11) == peer_state::gone);
+    CHECK(subject.has_ended(incarnation{11}, now));
+    subject.on_message(from(info_of(1, 11)), now + millis{5}); // Sent before it ended.
+    CHECK(state(11) == peer_state::gone);
+    subject.on_message(from(info_of(1, 31)), now + millis{500}); // Replaced node.
+    CHECK(state(31) == peer_state::alive);
+}
+
+TEST_CASE_FIXTURE(view_fixture, "peer_view, vm left the list, is gone only once it is silent") {
+    auto list = list_of(5);
+    list.erase(list.begin() + 1);
+    subject.apply_vm_list(list, now);
+    CHECK(state(11) == peer_state::alive);
+    now = now + millis{1600};
+    CHECK(state(11) == peer_state::gone);
+    CHECK(subject.has_ended(incarnation{11}, now));
+}
+
+// Guards the rule that a message which waited in a socket buffer proves nothing about the log.
+TEST_CASE_FIXTURE(view_fixture,
+                  "peer_view, fresh news in a message, is proof only in a reply and from the call's start") {
+    auto other = from(info_of(2, 12));
+    other.fresh_ago = millis{100};
+    other.applied_offset = 7;
+    subject.on_message(other, now);
+    CHECK_FALSE(subject.relayed_proof(100).has_value());
+    subject.on_reply(other, "vm-2:81", now, now + millis{5000});
+    CHECK(subject.relayed_proof(7) == now - millis{100});
+    CHECK_FALSE(subject.relayed_proof(6).has_value());
+}
+
+// Guards against a holder that issues on during an outage although it was replaced before it.
+TEST_CASE_FIXTURE(view_fixture,
+                  "peer_view, log down, gives an outage proof only if no replier knows a later record") {
+    for (const int vm : {1, 2}) {
+        auto other = from(info_of(vm, 10 + vm));
+        other.applied_offset = 7;
+        subject.on_reply(other, "", now + millis{vm}, now + millis{10});
+    }
+    now = now + millis{10};
+    CHECK(subject.outage_proof(7, millis{2500}, now) == start + millis{1});
+    CHECK_FALSE(subject.outage_proof(6, millis{2500}, now).has_value());
+    CHECK_FALSE(subject.outage_proof(7, millis{2500}, now + millis{3000}).has_value());
+    auto fresh = from(info_of(3, 13));
+    fresh.fresh_ago = millis{0};
+    subject.on_reply(fresh, "", now, now);
+    CHECK_FALSE(subject.outage_proof(7, millis{2500}, now).has_value());
+}
+
+TEST_CASE_FIXTURE(view_fixture, "peer_view, many nodes, keeps its message size") {
+    const auto bytes = [&](int nodes) {
+        peer_view view{{.self = info_of(0, 1)}};
+        view.apply_vm_list(list_of(nodes), now);
+        for (int i = 1; i < nodes; ++i) {
+            view.on_message(from(info_of(i, 10 + i)), now);
+        }
+        return view.make_message(random, now).peers.size();
+    };
+    CHECK(bytes(100) == 8);
+    CHECK(bytes(1000) == 8);
+    CHECK(bytes(3) == 2);
+}
+
+TEST_CASE_FIXTURE(view_fixture, "peer_view, choice of a round, is distinct and spread over all peers") {
+    std::set<std::string> seen;
+    for (int i = 0; i < 50; ++i) {
+        std::set<std::string> round;
+        for (const auto& it : subject.choose(random, now)) {
+            round.insert(it.vm);
+        }
+        CHECK(round.size() == 3);
+        seen.insert(round.begin(), round.end());
+    }
+    CHECK(seen.size() == 4);
+}
+
+TEST_CASE_FIXTURE(view_fixture, "peer_view, leaving run, does not come back by older news") {
+    auto leaving = info_of(1, 11);
+    leaving.leaving = true;
+    subject.on_message(from(leaving), now);
+    auto other = from(info_of(2, 12));
+    other.peers = {told(info_of(1, 11), millis{900})};
+    subject.on_message(other, now + millis{1});
+    CHECK(state(11) == peer_state::leaving);
+}
+
+} // namespace berylcrank
