--- a/modules/berylcrank_routing/cold/permit_issuer.h
+++ b/modules/berylcrank_routing/cold/permit_issuer.h
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "modules/berylcrank_config/state/group_record.h"
 #include "modules/berylcrank_core/identity/incarnation.h"
 #include "modules/berylcrank_core/sync/mutex.h"
 #include "modules/berylcrank_core/time/instant.h"
 #include "modules/berylcrank_core/verdict/request_class.h"
 #include "modules/berylcrank_membership/message/gossip_message.h"
 #include "modules/berylcrank_routing/cold/cold_limits.h"
-#include "modules/berylcrank_routing/cold/group_of.h"
 #include "modules/berylcrank_routing/cold/permit.h"
 #include "modules/berylcrank_routing/cold/string_map.h"
 #include "modules/berylcrank_routing/cold/warm_count.h"
@@ -55,6 +55,10 @@
         group has never had a holder. */
     void hold(std::uint32_t group, bool is_hand_over, instant now);
 
+    /** Takes that the log names this node as the first holder that `group` ever had, so that no earlier
+       permits can exist; issues at once. */
+    void hold_first(std::uint32_t group);
+
     /** Takes that the log names another holder of `group`. */
     void stop(std::uint32_t group);
 
