Wait in deployments until all nodes know each other

Cause: 1 of 3 runs of whole_path_test failed: the resend reached a node that had not yet heard of the home's run, which truthfully answers may-have-run. Ruled out: a fault of the order table; the home had recorded the answer, and the executions were 1. Change: deployment waits until each node knows all runs.

--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -94,6 +94,12 @@
     [[nodiscard]] const std::string& log_address() const { return log_address_; }
     [[nodiscard]] const std::string& vm_list_address() const { return vm_list_address_; }
 
+    /** Waits until each node is ready and knows the runs of all others. */
+    void wait_ready();
+
+    /** Number of alive runs that a node knows, itself included. */
+    static std::size_t known_runs(const running_node& node);
+
     /** Waits until a ticket is in force on all nodes. */
     void wait_in_force(std::uint64_t ticket, int limit_ms = 20000);
 
