--- a/modules/berylcrank_node/request/order_run.cpp
+++ b/modules/berylcrank_node/request/order_run.cpp
@@ -3,6 +3,8 @@
 #include "modules/berylcrank_node/request/order_attempt.h"
 #include "modules/berylcrank_node/request/order_headers.h"
 
+#include <algorithm>
+
 namespace berylcrank {
 
 namespace {
@@ -47,10 +49,15 @@
     try_next(upstream);
 }
 
-void order_run::on_not_run(std::uint32_t attempt, const std::string& upstream) {
-    if (parts_.table.attempt_not_run(id_, attempt)) {
+void order_run::on_not_run(std::uint32_t attempt, const std::string& upstream, bool is_retry_useful) {
+    if (!parts_.table.attempt_not_run(id_, attempt)) {
+        return;
+    }
+    if (is_retry_useful) {
         try_next(upstream);
+        return;
     }
+    refuse(http_unavailable, "the upstream is overloaded", false);
 }
 
 void order_run::on_ended(std::uint32_t attempt, order_answer answer) {
@@ -58,7 +65,10 @@
 }
 
 void order_run::start(std::unique_ptr<attempt_target> target) {
-    const auto left = deadline_ - parts_.time.now();
+    auto left = deadline_ - parts_.time.now();
+    if (const auto limit = target->run_limit()) {
+        left = std::min(left, *limit);
+    }
     if (left <= millis{0}) {
         target->finish({.end = attempt_end::denied, .verdict = run_verdict::not_run});
         refuse(http_unavailable, "deadline passed before dispatch", true);
--- a/modules/berylcrank_routing/cold/permit_issuer.cpp
+++ b/modules/berylcrank_routing/cold/permit_issuer.cpp
@@ -22,7 +22,16 @@
     }
     const auto& times = options_.times;
     it.is_held = true;
-    it.issue_from = now + times.permit + times.margin + (is_hand_over ? millis{0} : times.confirm);
+    it.issue_from =
+        now + times.permit + times.margin + (is_hand_over ? millis{0} : times.confirm + times.spread);
+}
+
+void permit_issuer::hold_first(std::uint32_t group) {
+    const lock_guard lock(mutex_);
+    auto& it = groups_.at(group % group_count);
+    if (!it.is_held && !is_retired_) {
+        it = {.is_held = true, .issue_from = instant{}};
+    }
 }
 
 void permit_issuer::stop(std::uint32_t group) {
