Share header rules and fingerprint between both request flows

Cause: order_headers had its own list of hop-by-hop headers, and orders had another fingerprint than lookups, although nodes share suspects by fingerprint. Change: both come from message_rules. Conclusion: node_test green, golden files unchanged.

--- a/modules/berylcrank_node/request/order_attempt.cpp
+++ b/modules/berylcrank_node/request/order_attempt.cpp
@@ -128,7 +128,7 @@
 
 void order_attempt::start_stream(std::optional<std::uint64_t> content_bytes) {
     stream_ = run_->reply()->start_stream(
-        {.status = head_->status, .headers = to_http(answered_headers(head_->headers))}, content_bytes);
+        {.status = head_->status, .headers = to_http(answered_headers(*head_))}, content_bytes);
     if (stream_ == nullptr) {
         return;
     }
@@ -147,7 +147,7 @@
     }
     order_answer out{.verdict = verdict,
                      .status = head_->status,
-                     .headers = answered_headers(head_->headers),
+                     .headers = answered_headers(*head_),
                      .body = std::move(body_)};
     return stream_ != nullptr || too_large_ ? without_body(out) : out;
 }
--- a/modules/berylcrank_node/request/order_flow.cpp
+++ b/modules/berylcrank_node/request/order_flow.cpp
@@ -64,7 +64,7 @@
                         .service = call.service,
                         .method = request.method,
                         .path = call.path,
-                        .headers = forwarded_headers(request.headers),
+                        .headers = forwarded_headers(request),
                         .body = request.body,
                         .timeout = call.timeout};
     if (id.home == parts_.minter.self()) {
@@ -120,8 +120,7 @@
     switch (result.admission) {
     case order_admission::run:
         ++counters_.run_here;
-        std::make_shared<order_run>(parts_, options_.limits, std::move(it), id, digest.low, deadline,
-                                    std::move(reply))
+        std::make_shared<order_run>(parts_, options_.limits, std::move(it), id, deadline, std::move(reply))
             ->route();
         return;
     case order_admission::waiting:
--- a/modules/berylcrank_node/request/order_headers.cpp
+++ b/modules/berylcrank_node/request/order_headers.cpp
@@ -1,66 +1,35 @@
 #include "modules/berylcrank_node/request/order_headers.h"
 
-#include "absl/strings/ascii.h"
-#include "absl/strings/match.h"
-#include "absl/strings/str_split.h"
-
-#include <algorithm>
-#include <array>
+#include "modules/berylcrank_node/request/message_rules.h"
 
 namespace berylcrank {
 
 namespace {
 
-using namespace std::string_view_literals;
-
-constexpr std::array connection_headers{
-    "Connection"sv, "Keep-Alive"sv,     "Proxy-Connection"sv,  "TE"sv,    "Trailer"sv,
-    "Upgrade"sv,    "Content-Length"sv, "Transfer-Encoding"sv, "Expect"sv};
-constexpr std::array request_headers{"Host"sv, "Berylcrank-Request-Id"sv, "Berylcrank-Timeout-Ms"sv};
-constexpr std::array answer_headers{"Berylcrank-Request-Id"sv, "Berylcrank-Load"sv, "Berylcrank-Verdict"sv,
-                                    "Berylcrank-Id-Prefix"sv};
-
-bool is_among(std::span<const std::string_view> names, std::string_view name) {
-    return std::ranges::any_of(names, [name](std::string_view it) {
-        return absl::EqualsIgnoreCase({it.data(), it.size()}, {name.data(), name.size()});
-    });
-}
-
-/** True if a `Connection` header names `name`, which makes it a header of one connection. */
-bool is_listed(std::span<const http_header> headers, std::string_view name) {
-    for (const auto& it : headers) {
-        if (!absl::EqualsIgnoreCase(it.name, "Connection")) {
-            continue;
-        }
-        for (const auto part : absl::StrSplit(it.value, ',')) {
-            if (absl::EqualsIgnoreCase(absl::StripAsciiWhitespace(part), {name.data(), name.size()})) {
-                return true;
-            }
-        }
-    }
-    return false;
-}
-
-std::vector<order_header> kept(std::span<const http_header> headers,
-                               std::span<const std::string_view> dropped) {
+std::vector<order_header> to_order(std::span<const http_header> headers) {
     std::vector<order_header> out;
+    out.reserve(headers.size());
     for (const auto& it : headers) {
-        if (!is_among(connection_headers, it.name) && !is_among(dropped, it.name) &&
-            !is_listed(headers, it.name)) {
-            out.emplace_back(it.name, it.value);
-        }
+        out.emplace_back(it.name, it.value);
     }
     return out;
 }
 
 } // namespace
 
-std::vector<order_header> forwarded_headers(std::span<const http_header> headers) {
-    return kept(headers, request_headers);
+std::vector<order_header> forwarded_headers(const http_request& it) {
+    return to_order(upstream_headers(it));
 }
 
-std::vector<order_header> answered_headers(std::span<const http_header> headers) {
-    return kept(headers, answer_headers);
+std::vector<order_header> answered_headers(const http_answer_head& it) {
+    auto headers = answer_headers(it);
+    // Each answer to an order gets its own; an upstream's would be a second one.
+    std::erase_if(headers, [](const http_header& h) {
+        return count_headers({&h, 1}, "Berylcrank-Verdict") +
+                   count_headers({&h, 1}, "Berylcrank-Id-Prefix") !=
+               0;
+    });
+    return to_order(headers);
 }
 
 std::vector<http_header> to_http(std::span<const order_header> headers) {
--- a/modules/berylcrank_node/request/order_headers.h
+++ b/modules/berylcrank_node/request/order_headers.h
@@ -5,17 +5,16 @@
 
 #include <span>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace berylcrank {
 
-/** Headers of a caller's request that go on to the upstream: all but those of one connection and those that
-    the node sets itself. */
-std::vector<order_header> forwarded_headers(std::span<const http_header> headers);
+/** Headers of a caller's request that go on to the upstream. @see upstream_headers */
+std::vector<order_header> forwarded_headers(const http_request& it);
 
-/** Headers of an upstream's answer that go on to the caller. @see forwarded_headers */
-std::vector<order_header> answered_headers(std::span<const http_header> headers);
+/** Headers of an upstream's answer that go on to the caller, without verdict and prefix. @see answer_headers
+ */
+std::vector<order_header> answered_headers(const http_answer_head& it);
 
 /** The same headers for the HTTP module. */
 std::vector<http_header> to_http(std::span<const order_header> headers);
--- a/modules/berylcrank_node/request/order_run.cpp
+++ b/modules/berylcrank_node/request/order_run.cpp
@@ -1,5 +1,6 @@
 #include "modules/berylcrank_node/request/order_run.h"
 
+#include "modules/berylcrank_node/request/message_rules.h"
 #include "modules/berylcrank_node/request/order_attempt.h"
 #include "modules/berylcrank_node/request/order_headers.h"
 
@@ -12,11 +13,11 @@
 } // namespace
 
 order_run::order_run(const order_parts& parts, const order_limits& limits, order_request request,
-                     const request_id& id, std::uint64_t fingerprint, instant deadline,
-                     std::shared_ptr<order_reply> reply)
+                     const request_id& id, instant deadline, std::shared_ptr<order_reply> reply)
     : parts_(parts), limits_(limits), request_(std::move(request)),
+      fingerprint_(request_fingerprint(request_.method, request_.path, request_.body)),
       body_(std::make_shared<const std::string>(std::move(request_.body))), id_(id), id_text_(to_string(id)),
-      fingerprint_(fingerprint), deadline_(deadline), reply_(std::move(reply)) {}
+      deadline_(deadline), reply_(std::move(reply)) {}
 
 void order_run::route() {
     if (!parts_.table.is_pending(id_, parts_.time.now())) {
--- a/modules/berylcrank_node/request/order_run.h
+++ b/modules/berylcrank_node/request/order_run.h
@@ -35,8 +35,7 @@
 class order_run : public std::enable_shared_from_this<order_run> {
 public:
     order_run(const order_parts& parts, const order_limits& limits, order_request request,
-              const request_id& id, std::uint64_t fingerprint, instant deadline,
-              std::shared_ptr<order_reply> reply);
+              const request_id& id, instant deadline, std::shared_ptr<order_reply> reply);
 
     /** Asks for an upstream; also after an attempt that did not run. */
     void route();
@@ -67,10 +66,10 @@
     order_parts parts_;
     order_limits limits_;
     order_request request_;
+    std::uint64_t fingerprint_;
     std::shared_ptr<const std::string> body_;
     request_id id_;
     std::string id_text_;
-    std::uint64_t fingerprint_;
     instant deadline_;
     std::shared_ptr<order_reply> reply_;
     std::vector<std::string> tried_;
