Add bench/once; count only what differs between recorded answers

Cause: max_bytes counted the fixed size of each answer, so that a full table of small answers left no room for bodies; 16 locks met each other often with four threads. Change: headers, bodies and reasons count, the fixed part belongs to the entry; answers with headers only can be given up too; 64 shards; a benchmark of table and relay with linear fits.

--- /dev/null
+++ b/bench/once/main.cpp
@@ -0,0 +1,74 @@
+#include "bench/once/linear_fit.h"
+#include "bench/once/relay_cost.h"
+#include "bench/once/table_cost.h"
+
+#include <cstdio>
+#include <vector>
+
+namespace berylcrank::bench {
+
+namespace {
+
+void print_fit(const char* name, const char* unit, const std::vector<point>& points) {
+    const auto it = fit(points);
+    std::printf("  fit %s = %.4g + %.4g * x %s (r2 %.3f)\n", name, it.base, it.slope, unit, it.r_squared);
+}
+
+void print_table_costs(std::size_t body_bytes) {
+    std::printf("order_table, answers of %zu bytes\n%10s %12s %10s %10s %10s %10s\n", body_bytes, "ids",
+                "bytes", "bytes/id", "order ns", "resend ns", "expire ns");
+    std::vector<point> bytes;
+    std::vector<point> order;
+    std::vector<point> resend;
+    std::vector<point> expire;
+    for (const std::size_t ids : {10000, 30000, 100000, 300000, 1000000}) {
+        const auto it = measure_table(ids, body_bytes);
+        const auto x = static_cast<double>(ids);
+        std::printf("%10zu %12.0f %10.1f %10.0f %10.0f %10.0f\n", ids, it.bytes, it.bytes / x, it.run_ns,
+                    it.resend_ns, it.expire_ns);
+        bytes.push_back({.x = x, .y = it.bytes});
+        order.push_back({.x = x, .y = it.run_ns});
+        resend.push_back({.x = x, .y = it.resend_ns});
+        expire.push_back({.x = x, .y = it.expire_ns});
+    }
+    print_fit("bytes", "ids", bytes);
+    print_fit("order ns", "ids", order);
+    print_fit("resend ns", "ids", resend);
+    print_fit("expire ns", "ids", expire);
+}
+
+void print_contended() {
+    constexpr std::size_t ids_per_thread = 50000;
+    std::printf("order_table, threads running orders at once\n%10s %22s\n", "threads", "ns/order per thread");
+    for (const unsigned threads : {1U, 2U, 4U}) {
+        std::printf("%10u %22.0f\n", threads, measure_contended(threads, ids_per_thread));
+    }
+}
+
+void print_relay_costs() {
+    std::printf("relay between two nodes on loopback, body sent and answered\n%10s %10s %10s %14s\n", "body",
+                "p50 us", "p99 us", "bytes on wire");
+    std::vector<point> latency;
+    std::vector<point> traffic;
+    for (const std::size_t body : {0, 1024, 16384, 65536, 262144, 1048576}) {
+        const auto it = measure_relay(body, body > 100000 ? 300 : 2000);
+        const auto x = static_cast<double>(body);
+        std::printf("%10zu %10.1f %10.1f %14.0f\n", body, it.p50_us, it.p99_us, it.bytes);
+        latency.push_back({.x = x, .y = it.p50_us});
+        traffic.push_back({.x = x, .y = it.bytes});
+    }
+    print_fit("p50 us", "body bytes", latency);
+    print_fit("wire bytes", "body bytes", traffic);
+}
+
+} // namespace
+
+} // namespace berylcrank::bench
+
+int main() {
+    berylcrank::bench::print_table_costs(0);
+    berylcrank::bench::print_table_costs(512);
+    berylcrank::bench::print_contended();
+    berylcrank::bench::print_relay_costs();
+    return 0;
+}
--- a/modules/berylcrank_once/table/order_shard.cpp
+++ b/modules/berylcrank_once/table/order_shard.cpp
@@ -21,8 +21,9 @@
         order_answer{.verdict = verdict, .status = status, .reason = reason});
 }
 
+/** What differs between answers; the rest is part of an entry's fixed cost. */
 std::size_t bytes_of(const order_answer& it) {
-    std::size_t sum = sizeof(it) + it.body.size() + it.reason.size();
+    std::size_t sum = it.body.size() + it.reason.size() + it.headers.size() * sizeof(order_header);
     for (const auto& [name, value] : it.headers) {
         sum += name.size() + value.size();
     }
@@ -202,7 +203,7 @@
         whole = std::make_shared<const order_answer>(without_body(*whole));
     }
     counters_.answer_bytes += bytes_of(*whole);
-    if (!whole->body.empty()) {
+    if (!whole->body.empty() || !whole->headers.empty()) {
         recorded_.push_back(of);
     }
     return whole;
--- a/modules/berylcrank_once/table/order_shard.h
+++ b/modules/berylcrank_once/table/order_shard.h
@@ -84,7 +84,7 @@
     /** Keys by the time from which they may be dropped, in steps of `expiry_step`. */
     std::map<std::int64_t, std::vector<key>> expiries_ ABSL_GUARDED_BY(mutex_);
     waiter_queue due_ ABSL_GUARDED_BY(mutex_);
-    /** Keys of recorded answers with a body, oldest first. */
+    /** Keys of recorded answers with headers or body, oldest first. */
     std::deque<key> recorded_ ABSL_GUARDED_BY(mutex_);
     std::uint64_t next_waiter_ ABSL_GUARDED_BY(mutex_){1};
     order_table::counters counters_ ABSL_GUARDED_BY(mutex_);
--- a/modules/berylcrank_once/table/order_table.h
+++ b/modules/berylcrank_once/table/order_table.h
@@ -52,9 +52,10 @@
 class order_table {
 public:
     struct options {
-        unsigned shards{16};                 ///< Locks; rounded up to a power of two.
-        std::size_t max_entries{400000};     ///< Most ids remembered, over all shards.
-        std::size_t max_bytes{67108864};     ///< Most bytes of recorded answers, over all shards.
+        unsigned shards{64};             ///< Locks; rounded up to a power of two.
+        std::size_t max_entries{400000}; ///< Most ids remembered, over all shards.
+        std::size_t max_bytes{
+            67108864}; ///< Most bytes of headers and bodies of recorded answers, over all shards.
         std::size_t recordable_bytes{65536}; ///< Bodies above this are not recorded.
         millis lifetime{600000};             ///< Age at which an id expires.
     };
@@ -62,11 +63,11 @@
     /** Sizes and totals since the start. */
     struct counters {
         std::size_t entries{0};      ///< Ids remembered now.
-        std::size_t answer_bytes{0}; ///< Bytes of recorded answers now.
+        std::size_t answer_bytes{0}; ///< Bytes of headers, bodies and reasons of recorded answers now.
         std::uint64_t full{0};       ///< Copies refused for want of room or by the horizon.
         std::uint64_t expired{0};    ///< Copies of expired ids.
         std::uint64_t mismatched{0}; ///< Copies with other content.
-        std::uint64_t stripped{0};   ///< Recorded bodies given up for newer ones.
+        std::uint64_t stripped{0};   ///< Recorded answers given up, but for the verdict, for newer ones.
     };
 
     explicit order_table(options it);
