--- a/modules/berylcrank_node/request/idempotent_request.cpp
+++ b/modules/berylcrank_node/request/idempotent_request.cpp
@@ -55,7 +55,8 @@
     const auto& received = request_.exchange->request();
     auto timeout = timeout_of(received);
     if (request_.request_class == request_class::lookup) {
-        timeout = std::min(timeout.value_or(flow_.options_.lookup_timeout), flow_.options_.lookup_timeout);
+        const auto longest = request_.timeout.value_or(flow_.options_.lookup_timeout);
+        timeout = std::min(timeout.value_or(longest), longest);
     }
     if (timeout) {
         deadline_ = flow_.clock_.now() + *timeout;
