Bound held answers over all orders; count running orders; no attempt after cancellation

Cause: relayed orders held up to 8 MiB each without a common bound; a planned stop could not see orders whose caller left or that were relayed here; the end of the upstream client cancelled an unsent order, which then asked the ending client for another attempt. Change: a shared byte budget (an answer above it keeps its verdict only); order_flow::running(); order_flow::refusal_verdict() for requests refused before the flow; no retry after cancellation.

--- a/modules/berylcrank_node/request/order_attempt.cpp
+++ b/modules/berylcrank_node/request/order_attempt.cpp
@@ -82,13 +82,21 @@
             return on_body(bytes);
         }
     }
-    too_large_ = too_large_ || body_.size() + bytes.size() > run_->limits().held_bytes;
+    hold(bytes);
+    return true;
+}
+
+void order_attempt::hold(std::span<const char> bytes) {
     if (too_large_) {
-        body_.clear();
+        return;
+    }
+    too_large_ = body_.size() + bytes.size() > run_->limits().held_bytes || !held_.add(bytes.size());
+    if (too_large_) {
+        std::string().swap(body_);
+        held_.release();
     } else {
         body_.append(bytes.data(), bytes.size());
     }
-    return true;
 }
 
 void order_attempt::on_done(const attempt_result& it) {
@@ -99,7 +107,8 @@
     const auto upstream = target_->upstream();
     target_->finish(reported);
     if (!dispatched_.has_value()) {
-        run_->on_not_sent(upstream);
+        // Only the end of the client itself cancels an order; it takes no other attempt.
+        run_->on_not_sent(upstream, it.end != attempt_end::cancelled);
         return;
     }
     if (verdict == run_verdict::not_run) {
@@ -136,7 +145,8 @@
     run_->reply()->set_on_gone([state = call_] { state->resume(); });
     if (!body_.empty()) {
         stream_->push(body_);
-        body_.clear();
+        std::string().swap(body_);
+        held_.release();
     }
 }
 
--- a/modules/berylcrank_node/request/order_attempt.h
+++ b/modules/berylcrank_node/request/order_attempt.h
@@ -17,7 +17,7 @@
 class order_attempt final : public upstream_observer {
 public:
     order_attempt(std::shared_ptr<order_run> run, std::unique_ptr<attempt_target> target)
-        : run_(std::move(run)), target_(std::move(target)) {}
+        : run_(std::move(run)), target_(std::move(target)), held_(run_->held()) {}
 
     /** Gives the call, which is known only after the client has started. */
     void set_call(const std::shared_ptr<upstream_call>& it);
@@ -40,6 +40,7 @@
     };
 
     [[nodiscard]] run_verdict judge(const attempt_result& it) const;
+    void hold(std::span<const char> bytes);
     void start_stream(std::optional<std::uint64_t> content_bytes);
     [[nodiscard]] order_answer answer_for(const attempt_result& it, run_verdict verdict);
 
@@ -51,6 +52,7 @@
     std::optional<http_answer_head> head_;
     std::shared_ptr<body_buffer> stream_; ///< Set once the answer is streamed.
     std::string body_;                    ///< The answer's body while it is not streamed.
+    held_bytes held_;                     ///< Accounts for `body_`.
     bool too_large_{false};               ///< The body could be neither held nor streamed.
 };
 
--- a/modules/berylcrank_node/request/order_flow.cpp
+++ b/modules/berylcrank_node/request/order_flow.cpp
@@ -56,7 +56,7 @@
     auto reply = std::make_shared<http_order_reply>(it, parts_.minter, parts_.time);
     const auto ids = read_ids(request.headers);
     if (ids.size() != 1 || count_headers(request.headers, id_header) != 1) {
-        refuse_invalid(ids, count_headers(request.headers, id_header), *reply);
+        refuse_invalid(request, *reply);
         return;
     }
     const auto& id = ids.front();
@@ -74,23 +74,20 @@
     }
 }
 
-void order_flow::refuse_invalid(std::span<const request_id> ids, std::size_t headers, order_reply& reply) {
-    ++counters_.invalid;
-    if (headers == 0) {
-        reply.send(plain(run_verdict::not_run, http_bad_request, "Idempotency-Key is missing"));
-        return;
-    }
-    if (headers == 1) {
-        reply.send(plain(run_verdict::not_run, http_bad_request,
-                         "Idempotency-Key is not of the form <prefix>.<number>"));
-        return;
-    }
-    // Each of the ids may have run under another copy, at this node or another.
-    const bool is_known_not_run = std::ranges::all_of(ids, [this](const request_id& it) {
-        return it.home == parts_.minter.self() && !parts_.minter.is_genuine(it);
+run_verdict order_flow::refusal_verdict(const http_request& it) const {
+    const bool is_known_not_run = std::ranges::all_of(read_ids(it.headers), [this](const request_id& id) {
+        return id.home == parts_.minter.self() && !parts_.minter.is_genuine(id);
     });
-    reply.send(plain(is_known_not_run ? run_verdict::not_run : run_verdict::may_have_run, http_bad_request,
-                     "Idempotency-Key is repeated"));
+    return is_known_not_run ? run_verdict::not_run : run_verdict::may_have_run;
+}
+
+void order_flow::refuse_invalid(const http_request& it, order_reply& reply) {
+    ++counters_.invalid;
+    const auto headers = count_headers(it.headers, id_header);
+    reply.send(plain(refusal_verdict(it), http_bad_request,
+                     headers == 0   ? "Idempotency-Key is missing"
+                     : headers == 1 ? "Idempotency-Key is not of the form <prefix>.<number>"
+                                    : "Idempotency-Key is repeated"));
 }
 
 void order_flow::handle_relayed(order_request it, std::function<void(order_answer)> reply) {
@@ -120,8 +117,7 @@
     switch (result.admission) {
     case order_admission::run:
         ++counters_.run_here;
-        std::make_shared<order_run>(parts_, options_.limits, std::move(it), id, deadline, std::move(reply))
-            ->route();
+        std::make_shared<order_run>(parts_, shared_, std::move(it), id, deadline, std::move(reply))->route();
         return;
     case order_admission::waiting:
         return;
--- a/modules/berylcrank_node/request/order_flow.h
+++ b/modules/berylcrank_node/request/order_flow.h
@@ -7,7 +7,6 @@
 #include <atomic>
 #include <functional>
 #include <memory>
-#include <span>
 #include <string>
 
 namespace berylcrank {
@@ -47,7 +46,8 @@
 
     /** All references must outlive the flow and every order. */
     order_flow(const options& it, const order_parts& parts, peer_client& peers, const home_directory& homes)
-        : options_(it), parts_(parts), peers_(peers), homes_(homes) {}
+        : options_(it), parts_(parts), peers_(peers), homes_(homes),
+          shared_(std::make_shared<order_shared>(it.limits)) {}
 
     /** Serves a caller's request. */
     void handle(const std::shared_ptr<http_exchange>& it, const order_call& call);
@@ -58,10 +58,18 @@
     /** Answers who waits beyond a deadline, and forgets expired ids. To be called every few milliseconds. */
     void tick() { parts_.table.tick(parts_.time.now()); }
 
+    /** What may be said of a request that is refused before it is given to `handle`, e.g. for a malformed
+        header: "not run" is true only if none of its ids may have been dispatched by another copy. */
+    [[nodiscard]] run_verdict refusal_verdict(const http_request& it) const;
+
+    /** Orders that run here, also those whose caller left or that another node relayed. A planned stop waits
+        until there are none. */
+    [[nodiscard]] std::size_t running() const { return shared_->running; }
+
     [[nodiscard]] const counters& count() const { return counters_; }
 
 private:
-    void refuse_invalid(std::span<const request_id> ids, std::size_t headers, order_reply& reply);
+    void refuse_invalid(const http_request& it, order_reply& reply);
     void run_here(order_request it, const request_id& id, std::shared_ptr<order_reply> reply);
     void relay(order_request it, const request_id& id, std::shared_ptr<order_reply> reply);
     void on_relayed(peer_failure failure, const order_answer& answer, order_reply& reply);
@@ -70,6 +78,7 @@
     order_parts parts_;
     peer_client& peers_;
     const home_directory& homes_;
+    std::shared_ptr<order_shared> shared_;
     counters counters_;
 };
 
--- a/modules/berylcrank_node/request/order_run.cpp
+++ b/modules/berylcrank_node/request/order_run.cpp
@@ -14,12 +14,14 @@
 
 } // namespace
 
-order_run::order_run(const order_parts& parts, const order_limits& limits, order_request request,
+order_run::order_run(const order_parts& parts, std::shared_ptr<order_shared> shared, order_request request,
                      const request_id& id, instant deadline, std::shared_ptr<order_reply> reply)
-    : parts_(parts), limits_(limits), request_(std::move(request)),
+    : parts_(parts), shared_(std::move(shared)), request_(std::move(request)),
       fingerprint_(request_fingerprint(request_.method, request_.path, request_.body)),
       body_(std::make_shared<const std::string>(std::move(request_.body))), id_(id), id_text_(to_string(id)),
-      deadline_(deadline), reply_(std::move(reply)) {}
+      deadline_(deadline), reply_(std::move(reply)) {
+    ++shared_->running;
+}
 
 void order_run::route() {
     if (!parts_.table.is_pending(id_, parts_.time.now())) {
@@ -46,19 +48,14 @@
     return parts_.table.begin_dispatch(id_, parts_.time.now());
 }
 
-void order_run::on_not_sent(const std::string& upstream) {
-    try_next(upstream);
+void order_run::on_not_sent(const std::string& upstream, bool is_retry_useful) {
+    try_next(upstream, is_retry_useful);
 }
 
 void order_run::on_not_run(std::uint32_t attempt, const std::string& upstream, bool is_retry_useful) {
-    if (!parts_.table.attempt_not_run(id_, attempt)) {
-        return;
-    }
-    if (is_retry_useful) {
-        try_next(upstream);
-        return;
+    if (parts_.table.attempt_not_run(id_, attempt)) {
+        try_next(upstream, is_retry_useful);
     }
-    refuse(http_unavailable, "the upstream is overloaded", false);
 }
 
 void order_run::on_ended(std::uint32_t attempt, order_answer answer) {
@@ -70,7 +67,7 @@
     if (const auto limit = target->run_limit()) {
         left = std::min(left, *limit);
     }
-    if (left <= millis{0}) {
+    if (left <= millis{0} || !parts_.table.is_pending(id_, parts_.time.now())) {
         target->finish({.end = attempt_end::denied, .verdict = run_verdict::not_run});
         refuse(http_unavailable, "deadline passed before dispatch", true);
         return;
@@ -97,13 +94,15 @@
     parts_.table.refuse(id_, std::move(it));
 }
 
-void order_run::try_next(const std::string& upstream) {
+void order_run::try_next(const std::string& upstream, bool is_retry_useful) {
     tried_.push_back(upstream);
-    if (tried_.size() < limits_.attempts) {
+    if (!is_retry_useful) {
+        refuse(http_unavailable, "not sent, and no other upstream may be tried", false);
+    } else if (tried_.size() >= limits().attempts) {
+        refuse(http_unavailable, "no upstream took the order", true);
+    } else {
         route();
-        return;
     }
-    refuse(http_unavailable, "no upstream took the order", true);
 }
 
 } // namespace berylcrank
--- a/modules/berylcrank_node/request/order_run.h
+++ b/modules/berylcrank_node/request/order_run.h
@@ -3,9 +3,11 @@
 #include "modules/berylcrank_core/identity/request_id.h"
 #include "modules/berylcrank_http/client/upstream_client.h"
 #include "modules/berylcrank_node/request/attempt_router.h"
+#include "modules/berylcrank_node/request/byte_budget.h"
 #include "modules/berylcrank_node/request/order_reply.h"
 #include "modules/berylcrank_once/berylcrank_once.h"
 
+#include <atomic>
 #include <memory>
 #include <string>
 #include <vector>
@@ -26,6 +28,16 @@
     unsigned attempts{2};                ///< Upstreams tried while each is proven not to have run the order.
     std::size_t recordable_bytes{65536}; ///< Larger answers are streamed to the first caller.
     std::size_t held_bytes{8388608};     ///< Largest answer held for a first copy that cannot be streamed to.
+    std::size_t total_held_bytes{67108864}; ///< Most bytes of answers held by all orders while they arrive.
+};
+
+/** What the orders of a flow share; kept by each of them. */
+struct order_shared {
+    explicit order_shared(const order_limits& it) : limits(it), held(it.total_held_bytes) {}
+
+    order_limits limits;
+    byte_budget held;
+    std::atomic<std::size_t> running{0}; ///< Orders admitted and not ended.
 };
 
 /** One admitted order on its way through routing and attempts. Only one attempt is in progress at a time.
@@ -34,9 +46,13 @@
 */
 class order_run : public std::enable_shared_from_this<order_run> {
 public:
-    order_run(const order_parts& parts, const order_limits& limits, order_request request,
+    order_run(const order_parts& parts, std::shared_ptr<order_shared> shared, order_request request,
               const request_id& id, instant deadline, std::shared_ptr<order_reply> reply);
 
+    ~order_run() { --shared_->running; }
+    order_run(const order_run&) = delete;
+    order_run& operator=(const order_run&) = delete;
+
     /** Asks for an upstream; also after an attempt that did not run. */
     void route();
 
@@ -44,7 +60,7 @@
     std::optional<std::uint32_t> begin_dispatch();
 
     /** An attempt ended before `begin_dispatch` allowed it. */
-    void on_not_sent(const std::string& upstream);
+    void on_not_sent(const std::string& upstream, bool is_retry_useful);
 
     /** A dispatched attempt is proven not to have run. `is_retry_useful` is false if the upstream's answer
        asks for no retry, because it is overloaded. */
@@ -56,15 +72,18 @@
     /** Where the first copy's answer goes. */
     [[nodiscard]] const std::shared_ptr<order_reply>& reply() const { return reply_; }
 
-    [[nodiscard]] const order_limits& limits() const { return limits_; }
+    [[nodiscard]] const order_limits& limits() const { return shared_->limits; }
+
+    /** Bounds the answers that all orders hold. */
+    [[nodiscard]] byte_budget& held() const { return shared_->held; }
 
 private:
     void start(std::unique_ptr<attempt_target> target);
     void refuse(int status, std::string reason, bool is_retry_useful);
-    void try_next(const std::string& upstream);
+    void try_next(const std::string& upstream, bool is_retry_useful);
 
     order_parts parts_;
-    order_limits limits_;
+    std::shared_ptr<order_shared> shared_;
     order_request request_;
     std::uint64_t fingerprint_;
     std::shared_ptr<const std::string> body_;
--- a/tests/node/order_flow_test.cpp
+++ b/tests/node/order_flow_test.cpp
@@ -194,6 +194,33 @@
     CHECK(it->answered->body.size() == 1000000);
 }
 
+// Guards against a planned stop that cuts off an order of a caller that left.
+TEST_CASE_FIXTURE(order_flow_fixture,
+                  "order_flow, orders whose callers left, count as running until they end") {
+    const auto it = world.send(0, world.mint(0));
+    world.send(0, world.mint(1));
+    it->on_gone();
+    world.run_random_step();
+    world.run_random_step();
+    CHECK(world.nodes[0]->flow->running() == 1);
+    CHECK(world.nodes[1]->flow->running() == 1);
+    world.run_all();
+    CHECK(world.nodes[0]->flow->running() + world.nodes[1]->flow->running() == 0);
+}
+
+// Guards against unbounded memory for answers on their way.
+TEST_CASE(
+    "order_flow, answers above the shared budget, verdict without the body and the budget is whole again") {
+    order_world world{{.nodes = 1, .limits = {.recordable_bytes = 64, .total_held_bytes = 30}}};
+    for (const std::size_t bytes : {40, 20, 20}) {
+        world.answer_bytes = bytes;
+        const auto it = world.send(0, world.mint(0));
+        world.run_all();
+        CHECK(it->verdict() == "ran");
+        CHECK(it->answered->head.status == (bytes == 40 ? 410 : 200));
+    }
+}
+
 // Guards against any order of steps and faults that leads to a second run or a false verdict; the world
 // checks after each step.
 TEST_CASE("order_flow, random faults and interleavings, each id runs at most once and verdicts are true") {
--- a/tests/node/order_world.cpp
+++ b/tests/node/order_world.cpp
@@ -219,7 +219,7 @@
     router = std::move(routes);
     peers = std::make_unique<fake_peers>(world, *this);
     flow = std::make_unique<order_flow>(
-        order_flow::options{.limits = {.recordable_bytes = world.options_.table.recordable_bytes}},
+        order_flow::options{.limits = world.options_.limits},
         order_parts{
             .time = world.time, .minter = minter, .table = table, .router = *router, .client = *client},
         *peers, world);
--- a/tests/node/order_world.h
+++ b/tests/node/order_world.h
@@ -80,6 +80,7 @@
         unsigned nodes{2};
         order_table::options table{
             .shards = 1, .max_entries = 100, .recordable_bytes = 64, .lifetime = millis{10000}};
+        order_limits limits{.recordable_bytes = 64};
     };
 
     explicit order_world(const options& it);
