--- a/bench/once/main.cpp
+++ b/bench/once/main.cpp
@@ -39,6 +39,7 @@
 
 void print_contended() {
     constexpr std::size_t ids_per_thread = 50000;
+    std::printf("order_table, tick with nothing due, 100000 ids: %.0f ns\n", measure_idle_tick(100000));
     std::printf("order_table, threads running orders at once\n%10s %22s\n", "threads", "ns/order per thread");
     for (const unsigned threads : {1U, 2U, 4U}) {
         std::printf("%10u %22.0f\n", threads, measure_contended(threads, ids_per_thread));
--- a/bench/once/table_cost.cpp
+++ b/bench/once/table_cost.cpp
@@ -81,6 +81,19 @@
     return out;
 }
 
+double measure_idle_tick(std::size_t ids) {
+    order_table table({.max_entries = 4 * ids, .lifetime = lifetime});
+    for (std::size_t n = 0; n < ids; ++n) {
+        run_order(table, {.home = {1}, .serial = n}, instant{}, "");
+    }
+    table.tick(instant{deadline});
+    return time_each(operations, [&] {
+        for (std::size_t n = 0; n < operations; ++n) {
+            table.tick(instant{deadline});
+        }
+    });
+}
+
 double measure_contended(unsigned threads, std::size_t ids_per_thread) {
     order_table table({.max_entries = 4 * threads * ids_per_thread});
     return time_each(ids_per_thread, [&] {
--- a/bench/once/table_cost.h
+++ b/bench/once/table_cost.h
@@ -18,4 +18,7 @@
 /** Nanoseconds for one order when `threads` run orders at once. */
 double measure_contended(unsigned threads, std::size_t ids_per_thread);
 
+/** Nanoseconds for one `tick` when nothing is due. */
+double measure_idle_tick(std::size_t ids);
+
 } // namespace berylcrank::bench
