--- a/tests/node/order_flow_test.cpp
+++ b/tests/node/order_flow_test.cpp
@@ -86,14 +86,18 @@
     CHECK_FALSE(world.has_steps());
 }
 
-// Guards against retries that an overloaded upstream asks not to make, here and at the caller.
-TEST_CASE_FIXTURE(order_flow_fixture, "order_flow, shed without retry, refused at once and marked") {
-    world.moods = {upstream_mood::shed_no_retry, upstream_mood::good};
-    const auto it = world.send(0, world.mint(0));
-    world.run_all();
-    CHECK(it->verdict() == "not-run");
-    CHECK(find_header(it->answered->head.headers, "Berylcrank-Retry") == "no");
-    CHECK(world.moods.size() == 1);
+// Guards against retries that an overloaded upstream asks not to make, here and at the caller, and against an
+// attempt at a client that is ending.
+TEST_CASE_FIXTURE(order_flow_fixture,
+                  "order_flow, shed without retry or cancelled, refused at once and marked") {
+    for (const auto mood : {upstream_mood::shed_no_retry, upstream_mood::cancelled}) {
+        world.moods = {mood, upstream_mood::good};
+        const auto it = world.send(0, world.mint(0));
+        world.run_all();
+        CHECK(it->verdict() == "not-run");
+        CHECK(find_header(it->answered->head.headers, "Berylcrank-Retry") == "no");
+        CHECK(world.moods.size() == 1);
+    }
 }
 
 // Guards against "not run" from a node that is not the home.
--- a/tests/node/order_world.cpp
+++ b/tests/node/order_world.cpp
@@ -6,8 +6,9 @@
 
 namespace {
 
-constexpr std::array mood_names{"good",        "unreachable",  "denied",    "shed",       "shed, no retry",
-                                "reset after", "reset before", "truncated", "sent twice", "misjudged"};
+constexpr std::array mood_names{"good",      "unreachable",    "denied",      "cancelled",
+                                "shed",      "shed, no retry", "reset after", "reset before",
+                                "truncated", "sent twice",     "misjudged"};
 
 class fake_target final : public attempt_target {
 public:
@@ -85,6 +86,8 @@
     void connect(upstream_mood mood, const upstream_request& request, const shared_observer& observer) {
         if (mood == upstream_mood::unreachable) {
             observer->on_done({.end = attempt_end::connect_failed, .verdict = run_verdict::not_run});
+        } else if (mood == upstream_mood::cancelled) {
+            observer->on_done({.end = attempt_end::cancelled, .verdict = run_verdict::not_run});
         } else if (!observer->may_send({})) {
             observer->on_done({.end = attempt_end::denied, .verdict = run_verdict::not_run});
         } else {
--- a/tests/node/order_world.h
+++ b/tests/node/order_world.h
@@ -18,6 +18,7 @@
     good,
     unreachable,   ///< The connection is refused.
     denied,        ///< The target's own check says no.
+    cancelled,     ///< The client ends before it sends.
     shed,          ///< Explicit not-run answer.
     shed_no_retry, ///< The same with `Berylcrank-Retry: no`.
     reset_after,   ///< Runs the order, then resets the connection.
