--- a/tests/node/order_world.h
+++ b/tests/node/order_world.h
@@ -18,6 +18,7 @@
     good,
     unreachable,   ///< The connection is refused.
     denied,        ///< The target's own check says no.
+    cancelled,     ///< The client ends before it sends.
     shed,          ///< Explicit not-run answer.
     shed_no_retry, ///< The same with `Berylcrank-Retry: no`.
     reset_after,   ///< Runs the order, then resets the connection.
@@ -80,6 +81,7 @@
         unsigned nodes{2};
         order_table::options table{
             .shards = 1, .max_entries = 100, .recordable_bytes = 64, .lifetime = millis{10000}};
+        order_limits limits{.recordable_bytes = 64};
     };
 
     explicit order_world(const options& it);
