Follow reported load in the limits; add overload, probing, amplification and breaker tables

Cause: at 3x load of lookups and downloads only 64 % of the orders were answered in time (28 % refused): limits followed latency against a baseline of each node's own, so nodes that started under overload kept a high limit and the others starved. Ruled out (trials): overload at 2x latency (75 % of orders in time), at 1.5x (all, p99 113 ms). Change: overload is a mean reported load of 2 requests per slot, which all nodes see alike; latency only without reports. Builds; core_test green.

--- a/bench/policy/disturbances.cpp
+++ b/bench/policy/disturbances.cpp
@@ -6,17 +6,6 @@
 
 namespace {
 
-// Each window includes the time after the disturbance in which its backlog is worked off.
-void slow_one(fake_pool& pool, instant from, instant to) {
-    std::size_t n = 0;
-    for (auto at = from; at + millis{2000} < to;
-         at = at + millis{2000}, n = (n + 1) % pool.options().upstreams) {
-        pool.measure(at, at + millis{400});
-        pool.at(at, [&pool, n] { pool.upstream(n).set({.slowdown = 10}); });
-        pool.at(at + millis{200}, [&pool, n] { pool.upstream(n).set({}); });
-    }
-}
-
 void stale_reports(fake_pool& pool, instant from, instant to) {
     for (std::size_t n = 0; n < pool.options().upstreams; ++n) {
         pool.upstream(n).set({.report_age = millis{500}});
@@ -31,6 +20,27 @@
     pool.measure(from, to);
 }
 
+void set_domain(fake_pool& pool, std::size_t domain, const fake_upstream::behaviour& it) {
+    for (std::size_t n = 0; n < pool.options().upstreams; ++n) {
+        if (pool.domain_of(n) == domain) {
+            pool.upstream(n).set(it);
+        }
+    }
+}
+
+} // namespace
+
+// Each window includes the time after the disturbance in which its backlog is worked off.
+void slow_one(fake_pool& pool, instant from, instant to) {
+    std::size_t n = 0;
+    for (auto at = from; at + millis{2000} < to;
+         at = at + millis{2000}, n = (n + 1) % pool.options().upstreams) {
+        pool.measure(at, at + millis{400});
+        pool.at(at, [&pool, n] { pool.upstream(n).set({.slowdown = 10}); });
+        pool.at(at + millis{200}, [&pool, n] { pool.upstream(n).set({}); });
+    }
+}
+
 void fail_fast(fake_pool& pool, instant from, instant to) {
     std::size_t n = 0;
     for (auto at = from; at + millis{5000} < to;
@@ -41,14 +51,6 @@
     }
 }
 
-void set_domain(fake_pool& pool, std::size_t domain, const fake_upstream::behaviour& it) {
-    for (std::size_t n = 0; n < pool.options().upstreams; ++n) {
-        if (pool.domain_of(n) == domain) {
-            pool.upstream(n).set(it);
-        }
-    }
-}
-
 // The domain fails; a ticket takes it out after 1 s and brings it back 3 s after that.
 void domain_leaves(fake_pool& pool, instant from, instant to) {
     std::size_t n = 0;
@@ -62,6 +64,8 @@
     }
 }
 
+namespace {
+
 std::vector<scenario> all_scenarios() {
     const auto load = [](double it) {
         return [it](pool_options& options) { options.mix.load = {0, it, 0}; };
--- a/bench/policy/fake_pool.cpp
+++ b/bench/policy/fake_pool.cpp
@@ -79,9 +79,32 @@
 
 void fake_pool::tick(std::size_t n) {
     nodes_[n].router->tick(events_.now());
+    probe(n);
     events_.after(tick_interval, [this, n] { tick(n); });
 }
 
+void fake_pool::probe(std::size_t n) {
+    const auto target = nodes_[n].router->next_probe(events_.now());
+    if (!target) {
+        return;
+    }
+    for (auto& it : results_) {
+        ++it.probes;
+    }
+    const auto started = events_.now();
+    const auto to = std::stoul(target->name);
+    events_.after(options_.one_way, [=, this] {
+        upstreams_[to]->arrive(options_.probe_ms, [=, this](upstream_end end, const auto& load) {
+            events_.after(options_.one_way, [=, this] {
+                // The load endpoint answers last; the queue before it is not the probe's cost.
+                const auto took = std::min(events_.now() - started, millis::from_value(options_.probe_ms));
+                nodes_[n].router->probe_done(
+                    std::to_string(to), end == upstream_end::good ? load : std::nullopt, took, events_.now());
+            });
+        });
+    });
+}
+
 void fake_pool::run_until(instant end) {
     if (!is_started_) {
         is_started_ = true;
@@ -248,7 +271,9 @@
 
 void fake_pool::succeed(const std::shared_ptr<call>& it) {
     it->is_done = true;
-    if (it->is_measured) {
+    if (it->is_measured && events_.now() > it->deadline) {
+        ++result_of(*it).late;
+    } else if (it->is_measured) {
         const double ms = (events_.now() - it->arrived).value();
         result_of(*it).latency_ms.push_back(static_cast<float>(ms));
         result_of(*it).queueing_ms.push_back(static_cast<float>(ms - it->work_ms));
--- a/bench/policy/fake_pool.h
+++ b/bench/policy/fake_pool.h
@@ -27,6 +27,7 @@
         false}; ///< One in ten requests takes 5.5 times the mean, the others half; else exponential.
     millis one_way = millis::from_micros(500);
     std::uint32_t shed_at{0};
+    double probe_ms{6}; ///< Upstream time of a probe.
     service_config service{.name = "inventario"};
     service_router::options router{};
     bool is_central{false}; ///< One queue for all slots instead of nodes and policies.
@@ -105,6 +106,7 @@
     void fail(const std::shared_ptr<call>& it, bool is_refused);
     void cancel_rest(const std::shared_ptr<call>& it);
     void tick(std::size_t n);
+    void probe(std::size_t n);
     void update();
     run_result& result_of(const call& it) { return results_[static_cast<std::size_t>(it.cls)]; }
 
--- a/bench/policy/main.cpp
+++ b/bench/policy/main.cpp
@@ -30,6 +30,10 @@
         };
         run("steady", bench::report_steady);
         run("disturbances", bench::report_disturbances);
+        run("probing", bench::report_probing);
+        run("overload", bench::report_overload);
+        run("amplification", bench::report_amplification);
+        run("breaker", bench::report_breaker);
         run("suspects", bench::report_suspects);
     } catch (const TCLAP::ArgException& it) {
         std::fprintf(stderr, "%s: %s\n", it.argId().c_str(), it.error().c_str());
--- a/bench/policy/measure.h
+++ b/bench/policy/measure.h
@@ -17,7 +17,8 @@
     std::uint64_t sheds{0};   ///< Shed answers.
     std::uint64_t attempts{0};
     std::uint64_t hedges{0};
-    double upstream_busy_ms{0};
+    std::uint64_t late{0}; ///< Good answers after the deadline.
+    std::uint64_t probes{0};
 };
 
 /** The value that `share` of `values` do not exceed; 0 if there are none. */
--- a/bench/policy/scenario.cpp
+++ b/bench/policy/scenario.cpp
@@ -7,13 +7,6 @@
 
 namespace berylcrank::bench {
 
-namespace {
-
-constexpr millis warm_up{5000};
-constexpr millis cool_down{3000}; // the last measured requests finish
-
-} // namespace
-
 void run_parallel(std::size_t count, unsigned threads, const std::function<void(std::size_t)>& work) {
     std::atomic<std::size_t> next{0};
     std::vector<std::jthread> workers;
--- a/bench/policy/scenario.h
+++ b/bench/policy/scenario.h
@@ -8,6 +8,12 @@
 
 namespace berylcrank::bench {
 
+/** Time before measuring. */
+inline constexpr millis warm_up{5000};
+
+/** Time in which the last measured requests finish. */
+inline constexpr millis cool_down{3000};
+
 /** What is given on the command line. */
 struct bench_options {
     std::size_t seeds{5};
@@ -29,6 +35,15 @@
     std::function<void(fake_pool&, instant from, instant to)> disturb; ///< Also sets the windows measured.
 };
 
+/** One slowed upstream every 2 s; measures around it. */
+void slow_one(fake_pool& pool, instant from, instant to);
+
+/** One upstream that fails fast for 2 s, every 5 s. */
+void fail_fast(fake_pool& pool, instant from, instant to);
+
+/** A failure domain fails, a ticket takes it out after 1 s, and it returns. */
+void domain_leaves(fake_pool& pool, instant from, instant to);
+
 /** Runs a contender in a scenario once for each seed, in parallel; the result does not depend on `threads`.
  */
 std::vector<run_result> run_seeds(const contender& who, const scenario& where, const bench_options& it,
--- a/modules/berylcrank_routing/limits/adaptive_limit.cpp
+++ b/modules/berylcrank_routing/limits/adaptive_limit.cpp
@@ -41,6 +41,14 @@
     }
 }
 
+void adaptive_limit::on_report(double load, instant now) {
+    sum_load_ += load;
+    ++reports_;
+    if (now >= window_end_) {
+        close_window(now);
+    }
+}
+
 void adaptive_limit::on_timeout(instant now) {
     ++timeouts_;
     if (now >= window_end_) {
@@ -57,13 +65,16 @@
 
 void adaptive_limit::close_window(instant now) {
     const std::uint32_t outcomes = answers_ + timeouts_ + sheds_;
+    const bool has_reports = reports_ >= least_outcomes;
     bool is_overloaded = outcomes >= least_outcomes &&
                          (timeouts_ > timeout_share * outcomes || sheds_ > shed_share * outcomes);
-    if (!is_overloaded && answers_ < least_answers) {
+    if (!is_overloaded && !has_reports && answers_ < least_answers) {
         return; // the window goes on until it says something
     }
     const double mean_ms = answers_ > 0 ? sum_ms_ / answers_ : 0;
-    if (answers_ >= least_answers) {
+    if (has_reports) {
+        is_overloaded = is_overloaded || sum_load_ / reports_ > options_.overload_load;
+    } else if (answers_ >= least_answers) {
         baseline_ms_ = baseline_ms_ == 0 ? mean_ms : std::min(baseline_ms_ * baseline_drift, mean_ms);
         is_overloaded = is_overloaded || mean_ms > baseline_ms_ * options_.overload_ratio;
     }
@@ -78,6 +89,8 @@
     answers_ = 0;
     timeouts_ = 0;
     sheds_ = 0;
+    sum_load_ = 0;
+    reports_ = 0;
     was_reached_ = false;
 }
 
--- a/modules/berylcrank_routing/limits/adaptive_limit.h
+++ b/modules/berylcrank_routing/limits/adaptive_limit.h
@@ -8,8 +8,10 @@
 
 /** A concurrency limit that follows what the other side bears: additive increase, multiplicative decrease.
 
-    Every `window` it compares the mean latency with the lowest mean seen lately. Overload or sheds lower the
-    limit; a window in which the limit was reached without overload raises it.
+    Every `window` it looks for overload: sheds, timeouts, a high reported load, or, without reports, a mean
+   latency far above the lowest mean seen lately. Overload lowers the limit; a window in which the limit was
+   reached without overload raises it. Reports come first because all nodes see the same ones, which keeps the
+   nodes' shares even; with latency, each node has a baseline of its own.
     @see service_router
 */
 class adaptive_limit {
@@ -19,7 +21,9 @@
         double least{1}; ///< At least 1.
         double most{64};
         millis window{50};
-        double overload_ratio{3}; ///< Mean latency over the baseline that counts as overload.
+        double overload_load{2}; ///< Mean reported requests per slot that count as overload.
+        double overload_ratio{
+            3}; ///< Without reports: mean latency over the baseline that counts as overload.
         double decrease{0.8};
         double increase{1};
     };
@@ -32,6 +36,9 @@
     /** A good answer. */
     void on_answer(millis latency, instant now);
 
+    /** An answer or probe reported `load` requests per slot. */
+    void on_report(double load, instant now);
+
     /** A timeout. */
     void on_timeout(instant now);
 
@@ -54,6 +61,8 @@
     double limit_;
     instant window_end_;
     double sum_ms_{0};
+    double sum_load_{0};
+    std::uint32_t reports_{0};
     std::uint32_t answers_{0};
     std::uint32_t timeouts_{0};
     std::uint32_t sheds_{0};
--- a/modules/berylcrank_routing/service/service_router_learn.cpp
+++ b/modules/berylcrank_routing/service/service_router_learn.cpp
@@ -73,6 +73,9 @@
     const lock_guard lock(mutex_);
     const auto at = states_.find(from.upstream_id);
     if (at != states_.end()) {
+        const double load = static_cast<double>(it.in_flight) / std::max(1U, from.upstream->slots);
+        at->second->limit.on_report(load, now);
+        total_limit_.on_report(load, now);
         base_.learn_report(it.in_flight, now - from.at);
         at->second->stats.on_report(it, base_, now);
     }
