Compare circuit breaker and ejection also under least in flight

Cause: with the error-aware policy neither is reached, so the comparison said nothing. Change: rows for least in flight. Builds; core_test green.

--- a/bench/policy/breaker.cpp
+++ b/bench/policy/breaker.cpp
@@ -72,8 +72,8 @@
     pool.measure(from, to);
 }
 
-void print_row(const scenario& where, const char* name, bool has_outliers, bool has_breaker,
-               const bench_options& it) {
+void print_row(const scenario& where, const char* name, policy_kind policy, bool has_outliers,
+               bool has_breaker, const bench_options& it) {
     auto with = where;
     if (has_breaker) {
         with.disturb = [inner = where.disturb](fake_pool& pool, instant from, instant to) {
@@ -81,8 +81,10 @@
             inner(pool, from, to);
         };
     }
-    const contender who{
-        name, [has_outliers](pool_options& options) { options.router.has_outliers = has_outliers; }};
+    const contender who{name, [=](pool_options& options) {
+                            options.router.policy = policy;
+                            options.router.has_outliers = has_outliers;
+                        }};
     const auto runs = run_seeds(who, with, it);
     const auto share = [&](auto count) {
         return figure(runs, [&](const run_result& run) {
@@ -92,8 +94,9 @@
     const auto loss = share([](const auto& run) { return run.lost + run.refused; });
     const auto failed = share([](const auto& run) { return run.attempts - run.latency_ms.size(); });
     const auto p99 = figure(runs, [](const auto& run) { return percentile(run.latency_ms, 0.99); });
-    std::printf("| %s | %s | %s | %s | %s |\n", where.name.c_str(), name, text(loss, 5).c_str(),
-                text(failed, 5).c_str(), text(p99, 1).c_str());
+    std::printf("| %s | %s | %s | %s | %s | %s |\n", where.name.c_str(),
+                std::string(to_string(policy)).c_str(), name, text(loss, 5).c_str(), text(failed, 5).c_str(),
+                text(p99, 1).c_str());
     std::fflush(stdout);
 }
 
@@ -109,13 +112,15 @@
         {"all upstreams err on 10 %", load(0.8), some_errors},
         {"a failure domain leaves and returns", load(0.6), domain_leaves},
     };
-    std::printf("\n| situation | handling | lost or refused | failed attempts per request | p99 ms "
-                "|\n|---|---|---|---|---|\n");
+    std::printf("\n| situation | policy | handling | lost or refused | failed attempts per request | p99 ms "
+                "|\n|---|---|---|---|---|---|\n");
     for (const auto& where : scenarios) {
-        print_row(where, "none", false, false, it);
-        print_row(where, "outlier ejection", true, false, it);
-        print_row(where, "circuit breaker", false, true, it);
-        print_row(where, "both", true, true, it);
+        for (const auto policy : {policy_kind::least_in_flight, policy_kind::estimated_load}) {
+            print_row(where, "none", policy, false, false, it);
+            print_row(where, "outlier ejection", policy, true, false, it);
+            print_row(where, "circuit breaker", policy, false, true, it);
+            print_row(where, "both", policy, true, true, it);
+        }
     }
 }
 
