--- a/modules/berylcrank_node/control/node_control.cpp
+++ b/modules/berylcrank_node/control/node_control.cpp
@@ -77,6 +77,11 @@
     const auto proof =
         std::max(inputs.log_end_read.value_or(instant{}), inputs.peer_proof.value_or(instant{}));
     parts_.issuer.confirm(proof);
+    // While the log is down holders stay, unless a peer knows of a record that this node has not read.
+    if (const auto it =
+            parts_.peers.outage_proof(parts_.config.view()->applied(), options_.isolation_limit, now)) {
+        parts_.issuer.confirm(*it);
+    }
     if (decision.stops_new_work || !parts_.config.is_ready()) {
         parts_.work.close();
     } else if (decision.state == freshness::fresh) {
--- a/modules/berylcrank_node/control/node_news.cpp
+++ b/modules/berylcrank_node/control/node_news.cpp
@@ -22,10 +22,11 @@
         out = parts_.peers.make_message(random_, now);
         out.warm = parts_.gate.news(random_, most_recent_news, most_old_news, recent_news, now);
     }
+    // Evidence is read before the state: the offset in the message must cover what the stated read has seen.
+    const auto log = parts_.config.evidence();
     const auto view = parts_.config.view();
     out.applied_offset = view->applied();
     out.state_digest = view->digest();
-    const auto log = parts_.config.evidence();
     if (log.end_read) {
         out.fresh_ago = now - *log.end_read;
     }
