--- /dev/null
+++ b/tests/cold/holder_permits_test.cpp
@@ -0,0 +1,156 @@
+#include "modules/berylcrank_node/control/holder_permits.h"
+
+#include "modules/berylcrank_config/state/record_codec.h"
+
+#include <doctest/doctest.h>
+#include <future>
+
+namespace berylcrank {
+
+namespace {
+
+constexpr incarnation self{1};
+constexpr incarnation holder{2};
+const std::string upstream = "pedidos-1";
+
+/** A log that names `holder` for all groups. */
+class assigned_log final : public log_service {
+public:
+    boost::leaf::result<std::uint64_t> append(std::string_view) override { return std::uint64_t{1}; }
+    boost::leaf::result<log_page> read(std::uint64_t from, std::uint32_t, millis) override {
+        std::vector<group_record> all;
+        for (std::uint32_t i = 0; i < group_count; ++i) {
+            all.push_back({.group = i, .holder = holder});
+        }
+        log_page page{.next_offset = 1};
+        if (from == 0) {
+            page.records.push_back({0, encode_assignments(all)});
+        }
+        return page;
+    }
+};
+
+class no_peers final : public state_peers {
+public:
+    std::optional<std::string> pull_delta(std::uint64_t, millis) override { return std::nullopt; }
+};
+
+/** Keeps asks and releases until the test answers them. */
+class fake_client final : public peer_client {
+public:
+    struct ask {
+        request_class priority;
+        on_answer<permit_answer> done;
+    };
+    void gossip(const std::string&, gossip_message, millis, on_answer<gossip_message>) override {}
+    void pull_state(const std::string&, std::uint64_t, millis, on_answer<std::string>) override {}
+    void relay_order(const std::string&, order_request, millis, on_answer<order_answer>) override {}
+    void acquire_permit(const std::string&, incarnation, std::string, request_class it, millis,
+                        on_answer<permit_answer> done) override {
+        asks.push_back({it, std::move(done)});
+    }
+    void release_permit(const std::string&, permit_release it, millis, on_answer<bool> done) override {
+        released.push_back(it.permit);
+        done(is_release_lost ? peer_failure::silent : peer_failure::none, true);
+    }
+    void report_crash(const std::string&, std::vector<crash_news>, millis, on_answer<bool>) override {}
+
+    void answer(const permit_answer& it, peer_failure failure = peer_failure::none) {
+        REQUIRE(!asks.empty());
+        auto done = std::move(asks.back().done);
+        asks.pop_back();
+        done(failure, it);
+    }
+
+    std::vector<ask> asks;
+    std::vector<std::uint64_t> released;
+    bool is_release_lost{false};
+};
+
+struct permits_fixture {
+    manual_clock time;
+    std::promise<void> assigned;
+    assigned_log log;
+    no_peers no_state;
+    config_follower config{
+        {}, log, no_state, time, [this, is_first = true](const config_view_ptr& it) mutable {
+            if (is_first && it->holder_of(0).holder == holder) {
+                is_first = false;
+                assigned.set_value();
+            }
+        }};
+    peer_view peers{{.self = {.vm = "a", .run = self}}};
+    permit_issuer issuer{{.self = self}};
+    fake_client client;
+    holder_permits subject{{time, self, config, peers, issuer, client}, {.most_waiting = 4}};
+    std::vector<std::string> outcomes; // In the order of the callbacks.
+
+    permits_fixture() {
+        config.start();
+        REQUIRE(assigned.get_future().wait_for(std::chrono::seconds(10)) == std::future_status::ready);
+        config.stop();
+        peers.on_message({.sender = {.vm = "b", .run = holder, .rpc_address = "b:1"}}, time.now());
+    }
+    void acquire(const std::string& name, request_class it, int deadline_ms) {
+        subject.acquire(upstream, it, time.now() + millis{deadline_ms},
+                        [this, name](const std::optional<cold_permit>& permit) {
+                            outcomes.push_back(name + (permit ? "+" : "-"));
+                        });
+    }
+};
+
+} // namespace
+
+// Guards against one ask for each waiting request, which would flood the holder of a cold pool.
+TEST_CASE_FIXTURE(permits_fixture,
+                  "holder_permits, several requests wait, asks once and serves the best class") {
+    acquire("download", request_class::download, 1000);
+    acquire("lookup", request_class::lookup, 1000);
+    acquire("order", request_class::order, 1000);
+    CHECK(client.asks.size() == 1);
+    client.answer({.granted = true, .permit = 1, .expires_after = millis{2000}});
+    CHECK(outcomes == std::vector<std::string>{"order+"});
+    REQUIRE(client.asks.size() == 1);
+    CHECK(client.asks[0].priority == request_class::lookup);
+    client.answer({.retry_after = millis{20}});
+    subject.tick();
+    CHECK(client.asks.empty());
+    time.advance(millis{20});
+    subject.tick();
+    CHECK(client.asks.size() == 1);
+    client.answer({}, peer_failure::silent); // Lost: asked again later.
+    time.advance(millis{20});
+    subject.tick();
+    client.answer({.granted = true, .permit = 2, .expires_after = millis{2000}});
+    CHECK(outcomes.back() == "lookup+");
+}
+
+TEST_CASE_FIXTURE(permits_fixture,
+                  "holder_permits, wait beyond the deadline or full queue, ends without a permit") {
+    acquire("soon", request_class::order, 100);
+    acquire("late", request_class::lookup, 8000);
+    client.answer({.retry_after = millis{5000}}); // A new holder that still waits.
+    CHECK(outcomes == std::vector<std::string>{"soon-"});
+    for (int i = 0; i < 4; ++i) {
+        acquire("more", request_class::lookup, 8000);
+    }
+    CHECK(outcomes == std::vector<std::string>{"soon-", "more-"});
+    time.advance(millis{8000});
+    subject.tick();
+    CHECK(outcomes.size() == 6);
+    CHECK(subject.waiting() == 0);
+}
+
+// Guards against permits that stay outstanding because nobody took them or their release was lost.
+TEST_CASE_FIXTURE(permits_fixture,
+                  "holder_permits, permit without a taker, is given back with bounded repeats") {
+    acquire("gone", request_class::order, 50);
+    time.advance(millis{60});
+    subject.tick();
+    CHECK(outcomes == std::vector<std::string>{"gone-"});
+    client.is_release_lost = true;
+    client.answer({.granted = true, .permit = 7, .expires_after = millis{2000}});
+    CHECK(client.released == std::vector<std::uint64_t>{7, 7, 7});
+}
+
+} // namespace berylcrank
