Test that a restart during a long log outage becomes warm again

Cause: nothing guarded that holders stay while the log is down. Change: the explorer takes an outage for good with a restart after it.

--- a/tests/cold/cold_explorer_test.cpp
+++ b/tests/cold/cold_explorer_test.cpp
@@ -57,6 +57,14 @@
     CHECK(seeds_to_violation({.has_no_run_limit = true}, enough) > 0);
 }
 
+// Guards against holders that stop in a log outage, with which all new connections would stop.
+TEST_CASE("cold admission, restart during a long log outage, becomes warm again") {
+    cold_world world{{.seed = 3, .has_faults = false, .has_outage = true}};
+    world.run();
+    CHECK(world.violation == "");
+    CHECK(world.warm_at.has_value());
+}
+
 TEST_CASE("cold admission, entirely cold pool without faults, becomes warm") {
     cold_world world{{.seed = 7, .has_faults = false}};
     world.run();
--- a/tests/cold/cold_world.cpp
+++ b/tests/cold/cold_world.cpp
@@ -50,6 +50,10 @@
     if (it.has_faults) {
         at(millis{200}, [this] { fault(); });
     }
+    if (it.has_outage) {
+        at(millis{800}, [this] { log_down_until_ = instant::never(); });
+        at(millis{1700}, [this] { restart_upstream(); });
+    }
 }
 
 cold_world::~cold_world() = default;
@@ -432,6 +436,13 @@
     }
 }
 
+void cold_world::restart_upstream() {
+    upstream_->is_up = false;
+    upstream_ = std::make_shared<process>();
+    upstream_->name = "p" + std::to_string(++last_process_);
+    warm_at.reset();
+}
+
 void cold_world::fault() {
     auto& it = *nodes_[random_.below(nodes_.size())];
     auto& holder = **std::ranges::max_element(
@@ -452,10 +463,7 @@
         break;
     }
     case 2: // Restart without a sign.
-        upstream_->is_up = false;
-        upstream_ = std::make_shared<process>();
-        upstream_->name = "p" + std::to_string(++last_process_);
-        warm_at.reset();
+        restart_upstream();
         break;
     case 3:
         victim.cut_until = now_ + length;
--- a/tests/cold/cold_world.h
+++ b/tests/cold/cold_world.h
@@ -23,6 +23,7 @@
         cold_times times{millis{200}, millis{50}, millis{250}, millis{200}};
         millis length{2500};
         bool has_faults{true};
+        bool has_outage{false}; ///< The log goes down for good and the upstream restarts after that.
         // Faults put into the nodes, which the check must find.
         bool ignores_check{false};    ///< Sends whatever `may_send` says.
         bool confirms_always{false};  ///< The holder does not look whether it was replaced.
@@ -81,6 +82,7 @@
     void give_back(node& it, const permit_release& release);
     void take_news(node& it);
     void fault();
+    void restart_upstream();
     millis delay();
     bool chance(double p) { return random_.unit() < p; }
     instant local(const node& it) const;
