--- a/modules/berylcrank_config/state/group_holders.h
+++ b/modules/berylcrank_config/state/group_holders.h
@@ -1,33 +1,19 @@
 #pragma once
 
 #include "modules/berylcrank_config/state/coverage.h"
-#include "modules/berylcrank_core/identity/incarnation.h"
+#include "modules/berylcrank_config/state/group_record.h"
 
 #include <array>
 #include <cstdint>
-#include <string_view>
 
 namespace berylcrank {
 
-/** Number of admission groups. */
-inline constexpr std::size_t group_count = 64;
-
-/** Group of an upstream, from a hash of its name that is the same on every node. */
-std::size_t group_of(std::string_view upstream);
-
-/** One request to make a node the holder of a group. @see group_holders */
-struct group_assignment {
-    std::uint16_t group{0};
-    incarnation holder;   ///< Becomes the holder.
-    incarnation replaces; ///< The holder that it replaces; unset if there is none.
-
-    bool operator==(const group_assignment&) const = default;
-};
-
 /** Holder of one group. */
 struct group_holder {
-    incarnation holder;      ///< Unset: none.
-    std::uint64_t offset{0}; ///< Log offset of the assignment.
+    incarnation holder;       ///< Unset: none.
+    std::uint64_t offset{0};  ///< Log offset of the assignment.
+    bool is_hand_over{false}; ///< The holder before had stopped issuing permits.
+    bool is_first{false};     ///< There was no holder before, for sure.
 
     bool operator==(const group_holder&) const = default;
 };
@@ -35,8 +21,9 @@
 /** Holders of all admission groups. The first assignment whose `replaces` is the current holder wins. */
 class group_holders {
 public:
-    /** Applies one assignment; false if it lost against another one. */
-    bool apply(const group_assignment& it, std::uint64_t offset);
+    /** Applies one assignment; false if it lost against another one. With a gap in the log an unknown holder
+       may exist, so nobody counts as the first one. */
+    bool apply(const group_record& it, std::uint64_t offset, bool has_gap);
 
     /** Keeps the later assignment of each group, without those that one side has certainly seen replaced. */
     void merge(const group_holders& other, const coverage& own_coverage, const coverage& other_coverage);
