Ask the log for fewer records after an unreadable answer

A page of 256 records of 256 KiB is larger than the 32 MiB that an answer may have; the read would have failed for ever on a log that does not cap its pages. Pages now have at most 64 records, and half as many after an unreadable answer.

--- a/modules/berylcrank_node/control/config_follower.h
+++ b/modules/berylcrank_node/control/config_follower.h
@@ -27,13 +27,13 @@
 class config_follower {
 public:
     struct options {
-        millis poll{500};          ///< Long poll of the log.
-        millis retention{3600000}; ///< How long the log keeps a record.
-        millis gap_wait{15000};    ///< How long to look for records that were trimmed unread.
-        millis peer_limit{1000};   ///< How long one pull from peers may take.
-        millis retry{100};         ///< Shortest wait after a failed read.
-        std::uint32_t page_records{256};
-        std::uint64_t seed{1}; ///< Of waits and snapshot ids; nodes must differ.
+        millis poll{500};               ///< Long poll of the log.
+        millis retention{3600000};      ///< How long the log keeps a record.
+        millis gap_wait{15000};         ///< How long to look for records that were trimmed unread.
+        millis peer_limit{1000};        ///< How long one pull from peers may take.
+        millis retry{100};              ///< Shortest wait after a failed read.
+        std::uint32_t page_records{64}; ///< Most records in one read.
+        std::uint64_t seed{1};          ///< Of waits and snapshot ids; nodes must differ.
     };
 
     config_follower(options it, log_service& log, state_peers& peers, const clock& time,
--- a/modules/berylcrank_node/control/log_tail.cpp
+++ b/modules/berylcrank_node/control/log_tail.cpp
@@ -12,7 +12,8 @@
     const auto wait = at_end_ ? options_.poll : millis{0};
     return boost::leaf::try_handle_all(
         [&]() -> boost::leaf::result<millis> {
-            BOOST_LEAF_AUTO(page, log_.read(from, options_.page_records, wait));
+            BOOST_LEAF_AUTO(page, log_.read(from, page_records_, wait));
+            page_records_ = std::min(page_records_ * 2, options_.page_records);
             take_page(page, sent, from);
             return millis{0};
         },
@@ -83,6 +84,10 @@
 }
 
 void log_tail::take_error(const log_error& it) {
+    if (it.what == log_error::kind::malformed) {
+        // The answer may have been too large to read, which would otherwise repeat for ever.
+        page_records_ = std::max(page_records_ / 2, 1U);
+    }
     const lock_guard guard(mutex_);
     if (evidence_.failed_reads++ == 0) {
         LOG(WARNING) << it.message;
--- a/modules/berylcrank_node/control/log_tail.h
+++ b/modules/berylcrank_node/control/log_tail.h
@@ -32,11 +32,12 @@
         millis poll{500};       ///< Long poll at the log's end.
         millis gap_wait{15000}; ///< How long to look for records that were trimmed unread.
         millis retry{100};      ///< Shortest wait after a failed read; the longest is three times this.
-        std::uint32_t page_records{256};
+        std::uint32_t page_records{64}; ///< Most records in one read; halved after an unreadable answer.
     };
 
     log_tail(options it, log_service& log, shared_config& config, const clock& time, random_source& random)
-        : options_(it), log_(log), config_(config), clock_(time), random_(random) {}
+        : options_(it), page_records_(it.page_records), log_(log), config_(config), clock_(time),
+          random_(random) {}
 
     /** Performs one read; returns how long to wait before the next step. */
     millis step();
@@ -50,6 +51,7 @@
     void take_error(const log_error& it);
 
     options options_;
+    std::uint32_t page_records_; ///< Used for the next read.
     log_service& log_;
     shared_config& config_;
     const clock& clock_;
--- a/tests/config/follower_test.cpp
+++ b/tests/config/follower_test.cpp
@@ -39,6 +39,9 @@
             if (failure) {
                 return boost::leaf::new_error(*failure);
             }
+            if (max > readable_records) {
+                return boost::leaf::new_error(log_error{log_error::kind::malformed, "answer is too large"});
+            }
             if (from < records.size() || wait == millis{0}) {
                 return page(from, max);
             }
@@ -61,6 +64,7 @@
     std::vector<std::string> records;
     std::uint64_t first{0};
     int lost_answers{0};
+    std::uint32_t readable_records{1000}; ///< A read of more gives an unreadable answer.
     std::optional<log_error> failure;
 
 private:
@@ -144,6 +148,13 @@
     CHECK(it.subject.outcomes_of(20).at(0).accepted);
 }
 
+// Guards against a node that asks for the same unreadable answer for ever.
+TEST_CASE_FIXTURE(follower_fixture, "config_follower, answers too large to read, asks for fewer records") {
+    log.readable_records = 1;
+    node it(log);
+    CHECK(until([&] { return it.subject.is_ready() && has(it, "u11"); }));
+}
+
 // Guards against a new node that serves without a configuration, or with half of one.
 TEST_CASE_FIXTURE(follower_fixture, "config_follower, trimmed log without snapshot or peer, is not ready") {
     log.first = 6;
@@ -252,9 +263,9 @@
     node a(log, 1);
     node b(log, 2);
     REQUIRE(until([&] { return a.subject.is_ready() && b.subject.is_ready(); }));
-    std::vector<group_assignment> for_a;
-    std::vector<group_assignment> for_b;
-    for (std::uint16_t group = 0; group < group_count; ++group) {
+    std::vector<group_record> for_a;
+    std::vector<group_record> for_b;
+    for (std::uint32_t group = 0; group < group_count; ++group) {
         for_a.push_back({.group = group, .holder = incarnation{1}});
         for_b.push_back({.group = group, .holder = incarnation{2}});
     }
