Send given replies before the RPC thread ends

Cause: a home that stopped as planned right after an order's end could lose the relayed answer: the loop ended in the turn in which the reply was posted. Ruled out: a fixed pause at each end; connections without unsent messages need none. Change: the loop goes on, for at most 1 s, while connections have messages to send. Tests of garbled messages use the shared raw connection.

--- a/modules/berylcrank_rpc/peer/peer_loop.cpp
+++ b/modules/berylcrank_rpc/peer/peer_loop.cpp
@@ -30,6 +30,19 @@
 
 void peer_loop::run() {
     run_tasks().wait(io_.waitScope);
+    send_the_rest();
+}
+
+void peer_loop::send_the_rest() {
+    constexpr auto step = 5 * kj::MILLISECONDS;
+    constexpr int most_steps = 200; // A node that does not read must not keep this one from ending.
+    for (int n = 0; n < most_steps && acceptor_.has_connections(); ++n) {
+        // The first step also lets replies that were given just now become messages.
+        io_.provider->getTimer().afterDelay(step).wait(io_.waitScope);
+        if (!acceptor_.has_unsent()) {
+            return;
+        }
+    }
 }
 
 kj::Promise<void> peer_loop::run_tasks() {
--- a/modules/berylcrank_rpc/peer/peer_loop.h
+++ b/modules/berylcrank_rpc/peer/peer_loop.h
@@ -27,7 +27,8 @@
     peer_loop(const peer_loop&) = delete;
     peer_loop& operator=(const peer_loop&) = delete;
 
-    /** Runs tasks and serves until the queue is closed. */
+    /** Runs tasks and serves until the queue is closed; then sends the replies that were given, within 1 s.
+     */
     void run();
 
     [[nodiscard]] unsigned port() { return acceptor_.port(); }
@@ -36,6 +37,7 @@
 
 private:
     kj::Promise<void> run_tasks();
+    void send_the_rest();
     void taskFailed(kj::Exception&& exception) override;
 
     message_limits limits_;
--- a/modules/berylcrank_rpc/peer/peer_server.cpp
+++ b/modules/berylcrank_rpc/peer/peer_server.cpp
@@ -3,12 +3,11 @@
 #include "modules/berylcrank_rpc/peer/counting_stream.h"
 #include "modules/berylcrank_rpc/peer/peer_codec.h"
 
+#include <algorithm>
 #include <capnp/rpc-twoparty.h>
 
 namespace berylcrank {
 
-namespace {
-
 /** One accepted connection. */
 struct accepted_connection {
     accepted_connection(kj::Own<kj::AsyncIoStream> inner, std::atomic<std::uint64_t>& traffic,
@@ -24,6 +23,8 @@
     capnp::RpcSystem<capnp::rpc::twoparty::VatId> rpc;
 };
 
+namespace {
+
 /** Accepting fails when file descriptors run out; a busy loop would not free any. */
 constexpr auto pause_after_failure = 100 * kj::MILLISECONDS;
 
@@ -106,13 +107,20 @@
 }
 
 void peer_acceptor::serve(kj::Own<kj::AsyncIoStream> stream) {
-    if (open_ >= options_.max_connections) {
+    if (open_.size() >= options_.max_connections) {
         return;
     }
     auto it = kj::heap<accepted_connection>(kj::mv(stream), traffic_, options_.limits, service_);
+    const auto key = it.get();
+    open_.insert(key);
     auto ended = it->network.onDisconnect();
-    ++open_;
-    tasks_.add(ended.attach(kj::mv(it)).then([this] { --open_; }, [this](kj::Exception&&) { --open_; }));
+    tasks_.add(
+        ended.then([this, key] { open_.erase(key); }, [this, key](kj::Exception&&) { open_.erase(key); })
+            .attach(kj::mv(it)));
+}
+
+bool peer_acceptor::has_unsent() const {
+    return std::ranges::any_of(open_, [](auto* it) { return it->network.getCurrentQueueCount() > 0; });
 }
 
 } // namespace berylcrank
--- a/modules/berylcrank_rpc/peer/peer_server.h
+++ b/modules/berylcrank_rpc/peer/peer_server.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 
 // KJ's classes have no virtual destructor by design: `kj::Own` remembers how to destroy them.
 #pragma GCC diagnostic push
@@ -48,6 +49,8 @@
     message_limits limits_;
 };
 
+struct accepted_connection;
+
 /** Accepts connections and serves each until it breaks.
 
     @see peer_server
@@ -66,6 +69,11 @@
 
     [[nodiscard]] unsigned port() { return receiver_->getPort(); }
 
+    [[nodiscard]] bool has_connections() const { return !open_.empty(); }
+
+    /** True if messages wait to be sent on a connection. */
+    [[nodiscard]] bool has_unsent() const;
+
 private:
     kj::Promise<void> accept_next();
     void serve(kj::Own<kj::AsyncIoStream> stream);
@@ -76,7 +84,7 @@
     kj::Timer& timer_;
     std::atomic<std::uint64_t>& traffic_;
     kj::TaskSet& tasks_;
-    unsigned open_{0};
+    std::set<accepted_connection*> open_;
 };
 
 } // namespace berylcrank
--- a/tests/rpc/garbled_test.cpp
+++ b/tests/rpc/garbled_test.cpp
@@ -1,6 +1,6 @@
 #include "modules/berylcrank_core/random/random_source.h"
 #include "tests/rpc/peer_fixture.h"
-#include "tests/rpc/raw_socket.h"
+#include "tests/support/raw_socket.h"
 
 #include <thread>
 
@@ -10,17 +10,12 @@
 
 /** The bytes that a client sends for one relayed order. */
 std::string captured_call(peer_endpoint& client) {
-    const auto listener = raw_socket::listening();
+    const raw_listener listener;
     pending_call<order_answer> call;
     client.relay_order(listener.address(),
                        {.id = "a-1-1-1.1", .method = "POST", .headers = {{"A", "b"}}, .body = "body"},
                        millis{20000}, call.callback());
-    const auto connection = listener.accept();
-    std::string bytes;
-    while (bytes.find("body") == std::string::npos) {
-        bytes += connection.receive();
-    }
-    return bytes;
+    return listener.accept().read_until("body");
 }
 
 std::string garble(std::string bytes, random_source& random) {
@@ -38,10 +33,7 @@
     seeded_random random(3);
     for (int n = 0; n < 300; ++n) {
         CAPTURE(n);
-        const auto connection = raw_socket::connected(server->address());
-        connection.send(garble(call, random));
-        connection.end_sending();
-        connection.wait_closed();
+        raw_connection::to(server->address()).send(garble(call, random));
     }
     CHECK(relay({.method = "POST", .body = "x"}).answer.body == "x");
 }
@@ -52,9 +44,9 @@
     for (const auto& head :
          {one_segment + std::string("\0\0\0\x10", 4), one_segment + std::string("\xff\xff\xff\xff", 4),
           std::string("\xff\xff\xff\x7f", 4) + std::string(4, '\0'), std::string(8, '\xff')}) {
-        const auto connection = raw_socket::connected(server->address());
+        auto connection = raw_connection::to(server->address());
         connection.send(head + std::string(64, 'x'));
-        connection.wait_closed();
+        CHECK(connection.wait_closed());
     }
     CHECK(relay({.method = "POST", .body = std::string(options.message_bytes, 'x')}).failure ==
           peer_failure::invalid);
@@ -66,17 +58,17 @@
 TEST_CASE_FIXTURE(peer_fixture, "peer_endpoint, garbled answers, call fails") {
     seeded_random random(4);
     for (int n = 0; n < 50; ++n) {
-        const auto listener = raw_socket::listening();
+        const raw_listener listener;
         pending_call<order_answer> call;
         client->relay_order(listener.address(), {.method = "POST"}, millis{20000}, call.callback());
-        const auto connection = listener.accept();
-        REQUIRE_FALSE(connection.receive().empty());
+        auto connection = listener.accept();
+        connection.read(8);
         std::string bytes(static_cast<std::size_t>(8 + random.below(200)), '\0');
         for (auto& it : bytes) {
             it = static_cast<char>(random.below(4) == 0 ? random.next() : 0);
         }
         connection.send(bytes);
-        connection.end_sending();
+        connection.close();
         CHECK(call.wait().failure != peer_failure::none);
     }
 }
--- a/tests/rpc/peer_endpoint_test.cpp
+++ b/tests/rpc/peer_endpoint_test.cpp
@@ -134,6 +134,16 @@
     reply({}); // After the end of the endpoint a reply has no effect.
 }
 
+// Guards against an order whose answer is lost because its home stops as planned right after the order's end.
+TEST_CASE_FIXTURE(peer_fixture, "peer_endpoint, stopped after a reply, sends the whole reply first") {
+    pending_call<order_answer> call;
+    client->relay_order(server->address(), {.method = "WAIT"}, millis{20000}, call.callback());
+    const std::string body(500000, 'x');
+    service.waiting.get_future().get()({.verdict = run_verdict::ran, .body = body});
+    server.reset();
+    CHECK(call.wait().answer.body == body);
+}
+
 TEST_CASE_FIXTURE(peer_fixture, "peer_endpoint, address in use or malformed, is reported") {
     options.address = server->address();
     CHECK(make_peer_endpoint(options, unused, error) == nullptr);
