Refuse orders in the dispatcher with a true verdict; wait for orders on a planned stop

Cause: an order resent to a node that does not know its service (404) or with a malformed header (400) got 'not run' although an earlier copy had run; found with whole processes. A planned stop counted open exchanges only, not orders that another node relayed or whose caller left. Change: the dispatcher uses order_flow::refusal_verdict; the stop also waits for order_flow::running. Known and left: the HTTP server's own refusals (408, 413, 431) say 'not run' without looking at the id.

--- a/modules/berylcrank_node/control/node.cpp
+++ b/modules/berylcrank_node/control/node.cpp
@@ -121,7 +121,7 @@
                 .services = services_,
                 .orders = orders_,
                 .work = work_,
-                .in_flight = [this] { return server_->open_exchanges(); }},
+                .in_flight = [this] { return server_->open_exchanges() + orders_.running(); }},
                control_options(it, self_)),
       pages_({.vm = it.getVm().cStr(),
               .failure_domain = it.getFailureDomain().cStr(),
--- a/modules/berylcrank_node/request/request_dispatcher.cpp
+++ b/modules/berylcrank_node/request/request_dispatcher.cpp
@@ -80,7 +80,9 @@
 void request_dispatcher::refuse(http_exchange& it, int status, const std::string& reason) const {
     http_answer answer{.head = {.status = status, .headers = {{"Content-Type", "text/plain"}}},
                        .body = reason + "\n"};
-    add_verdict(answer.head.headers, run_verdict::not_run, fresh_prefix(parts_.minter, parts_.time));
+    // Another copy of an order may have run, e.g. before its service was removed.
+    add_verdict(answer.head.headers, parts_.orders.refusal_verdict(it.request()),
+                fresh_prefix(parts_.minter, parts_.time));
     it.answer(std::move(answer));
 }
 
--- a/tests/process/whole_path_test.cpp
+++ b/tests/process/whole_path_test.cpp
@@ -49,4 +49,20 @@
     CHECK(subject.total("executed") == 0);
 }
 
+// Guards against a false "not run" for a real id, from a node that refuses the copy before it asks the home.
+TEST_CASE_FIXTURE(whole_path_fixture,
+                  "whole path, order that ran, resent with faults, is never called not run") {
+    const auto& address = subject.node(0).http_address;
+    const auto id = fetch_prefix(address) + ".1";
+    REQUIRE(send_order(address, "pedidos", id, "duct 7").verdict() == "ran");
+    CHECK(send_order(address, "unknown", id, "duct 7").verdict() == "may-have-run");
+    const auto answer = send({.address = address,
+                              .method = "POST",
+                              .path = "/s/pedidos/order",
+                              .headers = {{"Idempotency-Key", id}, {"Berylcrank-Timeout-Ms", "soon"}},
+                              .body = "duct 7"});
+    CHECK(answer.status == 400);
+    CHECK(answer.verdict() == "may-have-run");
+}
+
 } // namespace berylcrank::testing
