--- a/models/once.pml
+++ b/models/once.pml
@@ -44,7 +44,7 @@
 }
 
 inline see(t) {
-#ifdef MUTANT_OLD_TIME
+#ifdef OLD_TIME
     seen = t
 #else
     if
@@ -56,13 +56,13 @@
 
 #define expired(i) (i + LIFETIME <= seen)
 
-#ifdef MUTANT_EXPIRY_AFTER_LOOKUP
+#ifdef EXPIRY_AFTER_LOOKUP
 #define EXPIRY_SEEN(i) (expired(i) && state[i] != unknown)
 #else
 #define EXPIRY_SEEN(i) (expired(i))
 #endif
 
-#ifdef MUTANT_RESTART_OWNS
+#ifdef RESTART_OWNS
 #define IS_HOME true
 #else
 #define IS_HOME (epoch == 0)
@@ -78,7 +78,7 @@
     if
     :: i < horizon -> tell(i, not_run)
     :: i >= horizon && entries == ROOM ->
-#ifndef MUTANT_HORIZON_LOST
+#ifndef HORIZON_LOST
         horizon = seen + 1;
         if
         :: horizon <= i -> horizon = i + 1
@@ -97,7 +97,7 @@
     see(t);
     if
     :: EXPIRY_SEEN(i) ->
-#ifdef MUTANT_EXPIRED_NOT_RUN
+#ifdef EXPIRED_NOT_RUN
         tell(i, not_run)
 #else
         skip /* May have run. */
@@ -132,7 +132,7 @@
         admit(i, t);
         t = 0
     }
-#ifdef MUTANT_NON_HOME_NOT_RUN
+#ifdef NON_HOME_NOT_RUN
     :: atomic { copies[i] < SENDS && now >= i -> copies[i]++; tell(i, not_run) }
 #endif
     od
@@ -160,7 +160,7 @@
         :: else ->
             read_clock(i, t);
             see(t);
-#ifdef MUTANT_NO_DISPATCH_CHECK
+#ifdef NO_DISPATCH_CHECK
             allowed = true
 #else
             allowed = (state[i] == pending && !expired(i))
@@ -183,17 +183,17 @@
     :: atomic { epoch == mine && answers[i] > 0 -> answers[i]--; end(i, finished, ran) }; goto end_idle
     :: atomic { epoch == mine && sheds[i] > 0 -> sheds[i]--; state[i] = pending }; goto next
     :: atomic { epoch == mine -> /* Reset, timeout or truncated answer. */
-#ifdef MUTANT_RETRY_AFTER_RESET
+#ifdef RETRY_AFTER_RESET
         state[i] = pending
 #else
-#ifdef MUTANT_RESET_IS_RAN
+#ifdef RESET_IS_RAN
         end(i, finished, ran)
 #else
         end(i, finished, may_have_run)
 #endif
 #endif
         };
-#ifdef MUTANT_RETRY_AFTER_RESET
+#ifdef RETRY_AFTER_RESET
         goto next
 #else
         goto end_idle
@@ -224,10 +224,10 @@
     :: atomic { now < LAST_TIME -> now++ }
     :: atomic { epoch == 0 && state[0] == pending -> end(0, refused, not_run) }
     :: atomic { epoch == 0 && state[1] == pending -> end(1, refused, not_run) }
-#ifdef MUTANT_WAITER_NOT_RUN
+#ifdef WAITER_NOT_RUN
     :: atomic { state[0] == dispatched -> tell(0, not_run) }
 #endif
-#ifdef MUTANT_REFUSE_DISPATCHED
+#ifdef REFUSE_DISPATCHED
     :: atomic { state[0] == dispatched -> end(0, refused, not_run) }
 #endif
     :: atomic {
@@ -237,7 +237,7 @@
         fi;
         see(now);
         if
-#ifdef MUTANT_EARLY_DROP
+#ifdef EARLY_DROP
         :: true -> state[i] = unknown; entries--
 #else
         :: expired(i) -> state[i] = unknown; entries--
