--- a/bench/policy/breaker.cpp
+++ b/bench/policy/breaker.cpp
@@ -91,7 +91,7 @@
             return static_cast<double>(count(run)) / static_cast<double>(run.requests);
         });
     };
-    const auto loss = share([](const auto& run) { return run.lost + run.refused; });
+    const auto loss = share([](const auto& run) { return run.lost + run.refused + run.late; });
     const auto failed = share([](const auto& run) { return run.attempts - run.latency_ms.size(); });
     const auto p99 = figure(runs, [](const auto& run) { return percentile(run.latency_ms, 0.99); });
     std::printf("| %s | %s | %s | %s | %s | %s |\n", where.name.c_str(),
--- a/bench/policy/disturbances.cpp
+++ b/bench/policy/disturbances.cpp
@@ -93,7 +93,8 @@
             const auto runs = run_seeds(who, where, it);
             const auto p99 = [](const run_result& run) { return percentile(run.latency_ms, 0.99); };
             const auto loss = [](const run_result& run) {
-                return static_cast<double>(run.lost + run.refused) / static_cast<double>(run.requests);
+                return static_cast<double>(run.lost + run.refused + run.late) /
+                       static_cast<double>(run.requests);
             };
             if (who.name == "power of two") {
                 reference = runs;
--- a/bench/policy/fake_pool.h
+++ b/bench/policy/fake_pool.h
@@ -74,12 +74,12 @@
         std::unique_ptr<service_router> router;
     };
     struct call {
-        std::size_t node;
-        request_class cls;
-        double work_ms;
+        std::size_t node{0};
+        request_class cls{request_class::lookup};
+        double work_ms{0};
         instant arrived;
         instant deadline;
-        bool is_measured;
+        bool is_measured{false};
         bool is_done{false};
         int attempts{0};
         int open{0}; ///< Attempts in progress.
@@ -88,7 +88,7 @@
     };
     struct attempt {
         route_grant grant;
-        std::size_t upstream;
+        std::size_t upstream{0};
         std::uint64_t number{0};
         bool is_over{false};
     };
--- a/bench/policy/main.cpp
+++ b/bench/policy/main.cpp
@@ -20,7 +20,7 @@
         const TCLAP::SwitchArg brief("", "short", "One size and load only", line);
         line.parse(argc, argv);
         const bench::bench_options it{.seeds = seeds.getValue(),
-                                      .duration = millis{seconds.getValue() * 1000},
+                                      .duration = millis{1000} * seconds.getValue(),
                                       .threads = threads.getValue(),
                                       .is_short = brief.getValue()};
         const auto run = [&](const char* name, void (*report)(const bench::bench_options&)) {
@@ -35,8 +35,8 @@
         run("amplification", bench::report_amplification);
         run("breaker", bench::report_breaker);
         run("suspects", bench::report_suspects);
-    } catch (const TCLAP::ArgException& it) {
-        std::fprintf(stderr, "%s: %s\n", it.argId().c_str(), it.error().c_str());
+    } catch (const std::exception& it) { // TCLAP reports its own errors
+        std::fprintf(stderr, "%s\n", it.what());
         return 2;
     }
     return 0;
--- a/bench/policy/steady.cpp
+++ b/bench/policy/steady.cpp
@@ -38,7 +38,8 @@
             .median;
     };
     std::printf("| %.3f | %.5f |\n", per_request(&run_result::sheds),
-                per_request(&run_result::lost) + per_request(&run_result::refused));
+                per_request(&run_result::lost) + per_request(&run_result::refused) +
+                    per_request(&run_result::late));
     std::fflush(stdout);
 }
 
--- a/modules/berylcrank_routing/limits/adaptive_limit.h
+++ b/modules/berylcrank_routing/limits/adaptive_limit.h
@@ -21,7 +21,7 @@
         double least{1}; ///< At least 1.
         double most{64};
         millis window{50};
-        double overload_load{2}; ///< Mean reported requests per slot that count as overload.
+        double overload_load{3}; ///< Mean reported requests per slot that count as overload.
         double overload_ratio{
             3}; ///< Without reports: mean latency over the baseline that counts as overload.
         double decrease{0.8};
--- a/modules/berylcrank_routing/probe/probe_budget.cpp
+++ b/modules/berylcrank_routing/probe/probe_budget.cpp
@@ -13,7 +13,8 @@
     if (options_.percent <= 0) {
         return instant::never().since_start();
     }
-    return cost * (100.0 / options_.percent * std::max(1U, options_.max_nodes));
+    // Rounded up: the budget is a hard limit, and a duration is cut to whole microseconds.
+    return cost * (100.0 / options_.percent * std::max(1U, options_.max_nodes)) + millis::from_micros(1);
 }
 
 bool probe_budget::try_start(instant now) {
--- a/modules/berylcrank_routing/service/service_router_choice.cpp
+++ b/modules/berylcrank_routing/service/service_router_choice.cpp
@@ -46,6 +46,9 @@
 }
 
 service_router::pick service_router::choose(const route_request& it, instant now) {
+    if (usable_.empty()) {
+        return {}; // refuse at once: nothing to wait for
+    }
     if (options_.has_limits && !total_limit_.allows(stats_.in_flight)) {
         return {.is_busy = true};
     }
--- /dev/null
+++ b/tests/routing/service_router_test.cpp
@@ -0,0 +1,230 @@
+#include "modules/berylcrank_routing/service/service_router.h"
+
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <thread>
+
+namespace berylcrank {
+
+namespace {
+
+struct router_fixture {
+    service_config service{.name = "pedidos", .retry_budget_percent = 10, .queue_limit = 2};
+    std::unique_ptr<service_router> subject;
+    std::vector<route_grant> grants;
+    std::vector<route_refusal> refusals;
+    instant now{millis{1000}};
+
+    explicit router_fixture(std::size_t upstreams = 3, std::uint32_t slots = 1) {
+        subject = std::make_unique<service_router>(service, service_router::options{});
+        update(upstreams, slots);
+    }
+
+    std::vector<routed_upstream> upstreams(std::size_t count, std::uint32_t slots = 1) const {
+        std::vector<routed_upstream> all;
+        for (std::size_t n = 0; n < count; ++n) {
+            all.push_back({.config = {.name = "u" + std::to_string(n),
+                                      .service = "pedidos",
+                                      .failure_domain = n % 2 == 0 ? "a" : "b",
+                                      .slots = slots}});
+        }
+        return all;
+    }
+
+    void update(std::size_t count, std::uint32_t slots = 1) {
+        subject->update(service, upstreams(count, slots), now);
+    }
+
+    std::uint64_t acquire(route_request it = {}) {
+        const auto done = [this](const route_result& result) {
+            if (const auto* granted = std::get_if<route_grant>(&result)) {
+                grants.push_back(*granted);
+            } else {
+                refusals.push_back(std::get<route_refusal>(result));
+            }
+        };
+        return subject->acquire(std::move(it), done, now);
+    }
+
+    void release(attempt_outcome outcome = attempt_outcome::good) {
+        const auto it = grants.front();
+        grants.erase(grants.begin());
+        subject->release(it, outcome, now);
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(router_fixture,
+                  "service_router, upstreams removed, gives them no new work and forgets them") {
+    acquire();
+    const auto held = grants.front().upstream->name;
+    subject->update(service, {}, now);
+    acquire();
+    REQUIRE(refusals.size() == 1);
+    CHECK(refusals[0].reason == refusal_reason::no_upstream);
+    CHECK(subject->view(held, now).has_value()); // until its last release
+    release();
+    CHECK_FALSE(subject->view(held, now).has_value());
+    CHECK(subject->stats(now).upstreams == 0);
+    CHECK(subject->stats(now).in_flight == 0);
+}
+
+// Guards against work for a draining upstream or one in a failure domain that was taken out.
+TEST_CASE_FIXTURE(router_fixture, "service_router, draining or domain out, chooses the others") {
+    auto all = upstreams(3, 10);
+    all[0].config.draining = true;
+    all[1].is_domain_in_use = false;
+    subject->update(service, all, now);
+    for (int n = 0; n < 10; ++n) {
+        acquire();
+    }
+    REQUIRE(grants.size() == 10);
+    for (const auto& it : grants) {
+        CHECK(it.upstream->name == "u2");
+    }
+}
+
+TEST_CASE_FIXTURE(router_fixture,
+                  "service_router, all at their limits, queues by class and serves on release") {
+    for (int n = 0; n < 6; ++n) { // two per slot
+        acquire();
+    }
+    REQUIRE(grants.size() == 6);
+    acquire({.request_class = request_class::lookup, .deadline = now + millis{100}});
+    acquire({.request_class = request_class::order, .deadline = now + millis{500}});
+    acquire({.request_class = request_class::lookup, .deadline = now + millis{100}});
+    REQUIRE(refusals.size() == 1);
+    CHECK(refusals[0].reason == refusal_reason::queue_full);
+    CHECK_FALSE(refusals[0].is_retry_useful);
+    release();
+    CHECK(subject->stats(now).granted[static_cast<std::size_t>(request_class::order)] == 1);
+    now = now + millis{101};
+    subject->tick(now);
+    REQUIRE(refusals.size() == 2);
+    CHECK(refusals[1].reason == refusal_reason::deadline);
+    CHECK(subject->stats(now).waiting == 0);
+}
+
+TEST_CASE_FIXTURE(router_fixture, "service_router, waiting request cancelled, is never granted") {
+    for (int n = 0; n < 6; ++n) {
+        acquire();
+    }
+    const auto number = acquire();
+    CHECK(subject->cancel(number));
+    CHECK_FALSE(subject->cancel(number));
+    release();
+    CHECK(grants.size() == 5);
+    CHECK(refusals.empty());
+}
+
+// Guards against retries that multiply under overload.
+TEST_CASE_FIXTURE(router_fixture, "service_router, retries beyond the budget, refuses and marks") {
+    update(3, 100);
+    for (int n = 0; n < 20; ++n) {
+        acquire({.kind = attempt_kind::retry});
+    }
+    CHECK(grants.size() == 3);
+    REQUIRE(refusals.size() == 17);
+    CHECK(refusals[0].reason == refusal_reason::budget_exhausted);
+    CHECK_FALSE(refusals[0].is_retry_useful);
+}
+
+TEST_CASE_FIXTURE(router_fixture, "service_router, gates, give cold upstreams only permitted requests") {
+    subject->set_gate("u0", {.is = upstream_gate::state::closed}, now);
+    subject->set_gate("u1", {.is = upstream_gate::state::closed}, now);
+    subject->set_gate("u2", {.is = upstream_gate::state::by_permit, .permits = 1}, now);
+    acquire();
+    acquire();
+    REQUIRE(grants.size() == 2);
+    CHECK(grants[0].used_permit);
+    CHECK(grants[1].needs_permit);
+    subject->set_gate("u2", {.is = upstream_gate::state::by_permit, .may_ask = false}, now);
+    acquire();
+    REQUIRE(refusals.size() == 1);
+    CHECK(refusals[0].reason == refusal_reason::no_upstream);
+}
+
+// Guards against a suspect whose crash takes other requests of this node with it.
+TEST_CASE_FIXTURE(router_fixture,
+                  "service_router, request that must run alone, shares its upstream with none") {
+    update(2, 10);
+    acquire({.is_alone = true});
+    for (int n = 0; n < 10; ++n) {
+        acquire();
+    }
+    REQUIRE(grants.size() == 11);
+    for (std::size_t n = 1; n < grants.size(); ++n) {
+        CHECK(grants[n].upstream->name != grants[0].upstream->name);
+    }
+    release();
+    acquire({.is_alone = true});
+    CHECK(grants.size() == 11);
+}
+
+// Guards against a service without any upstream because all fail for a moment.
+TEST_CASE_FIXTURE(router_fixture,
+                  "service_router, all upstreams fail, ejects a bounded share and fails open") {
+    update(6, 10);
+    for (int n = 0; n < 200; ++n) {
+        acquire();
+        release(attempt_outcome::error);
+        CHECK(subject->stats(now).ejected <= 2);
+    }
+    CHECK(subject->stats(now).ejected == 2);
+    CHECK(refusals.empty());
+    acquire({.excluded = {"u0", "u1", "u2", "u3"}});
+    CHECK(grants.size() == 1);
+}
+
+TEST_CASE_FIXTURE(router_fixture,
+                  "service_router, probe budget, names the upstream that was not heard for longest") {
+    service.probe_budget_percent = 10;
+    update(3);
+    CHECK(subject->next_probe(now) == nullptr);
+    now = now + millis{3000};
+    acquire();
+    const auto heard = grants.front().upstream->name;
+    subject->report_load(grants.front(), {.in_flight = 1, .slots = 1}, now);
+    const auto first = subject->next_probe(now);
+    REQUIRE(first);
+    CHECK(first->name != heard);
+    subject->probe_done(first->name, load_report{.in_flight = 0, .slots = 1}, millis{4}, now);
+    CHECK(subject->stats(now).probe_time == millis{6});
+}
+
+// Guards against lost or doubled callbacks and, under ThreadSanitizer, against races.
+TEST_CASE_FIXTURE(router_fixture, "service_router, many threads, answers each request once and ends empty") {
+    service.queue_limit = 100;
+    update(4, 2);
+    constexpr int per_thread = 2000;
+    std::atomic<int> answered{0};
+    {
+        std::vector<std::jthread> threads;
+        for (int t = 0; t < 4; ++t) {
+            threads.emplace_back([&, t] {
+                for (int n = 0; n < per_thread; ++n) {
+                    const instant time{millis{1000 + n}};
+                    const auto done = [&, time](const route_result& result) {
+                        ++answered;
+                        if (const auto* granted = std::get_if<route_grant>(&result)) {
+                            subject->report_load(*granted, {.in_flight = 1, .slots = 2}, time);
+                            subject->release(*granted, attempt_outcome::good, time);
+                        }
+                    };
+                    subject->acquire({.request_class = static_cast<request_class>(n % 3)}, done, time);
+                    if (n % 100 == t) {
+                        update(3 + static_cast<std::size_t>(n / 100 % 3), 2);
+                    }
+                }
+            });
+        }
+    }
+    subject->tick(instant{millis{100000}});
+    CHECK(answered == 4 * per_thread);
+    CHECK(subject->stats(now).in_flight == 0);
+    CHECK(subject->stats(now).waiting == 0);
+}
+
+} // namespace berylcrank
