--- a/modules/berylcrank_membership/view/peer_view.h
+++ b/modules/berylcrank_membership/view/peer_view.h
@@ -27,7 +27,7 @@
         millis silent{1500};      ///< Time without news after which observers are counted.
         std::size_t observers{3}; ///< Observers needed for silence, fewer if fewer nodes are heard.
         std::size_t fan_out{3};   ///< Peers in one gossip round.
-        std::size_t sample{8};    ///< Peers told about in one message; keeps its size constant.
+        std::size_t sample{4};    ///< Peers told about in one message; keeps its size constant.
         millis news{10000};       ///< How long a change is passed on in full.
         std::size_t max_gone{4096};
     };
--- a/modules/berylcrank_membership/view/peer_view_news.cpp
+++ b/modules/berylcrank_membership/view/peer_view_news.cpp
@@ -146,7 +146,14 @@
     std::vector<const peer_record*> urgent;
     std::vector<const peer_record*> usual;
     for (const auto& [vm, peer] : peers_) {
-        if (!peer.info.run.is_set() || peer.is_gone) {
+        if (!peer.info.run.is_set()) {
+            continue;
+        }
+        if (peer.is_gone) {
+            // Told as silence: others do not rely on this node's proof, but count it as an observer.
+            if (now - peer.gone_at < options_.news) {
+                urgent.push_back(&peer);
+            }
             continue;
         }
         const bool is_fresh = peer.heard && now - *peer.heard < options_.silent;
@@ -172,7 +179,7 @@
 }
 
 peer_info peer_view::told(const peer_record& it, random_source& random, instant now) const {
-    const auto age = now - it.last_news();
+    const auto age = it.is_gone ? std::max(now - it.last_news(), options_.silent) : now - it.last_news();
     const bool is_full = now - it.changed < options_.news || random.below(full_one_in) == 0;
     if (is_full) {
         auto info = it.info;
