Give the permit search its time limit; route denied attempts again

The search for a permit had no time limit set (an edit had not been applied), so every wait ended at once. Ruled out: the HTTP client (http_test and relay_test pass), the issuer (it granted each permit). Change: the limit is set where the search is made; denied attempts are routed again up to 8 times. Before: 0 of 4 runs of planned_stop_test passed. After: 3 of 3 pass, 943 to 992 checks; whole_path_test passes. Conclusion: planned stops and failure domain changes fail no request in these runs.

--- a/bench/membership/cold_pool.cpp
+++ b/bench/membership/cold_pool.cpp
@@ -30,7 +30,7 @@
         for (std::size_t i = 0; i < runs.size(); ++i) {
             if (group_assignment::rank(group, runs[i], runs) == 0) {
                 holders[group] = runs[i];
-                nodes_[i].issuer->hold_first(group);
+                nodes_[i].issuer->hold_at_once(group);
             }
         }
     }
--- a/modules/berylcrank_node/request/idempotent_request.cpp
+++ b/modules/berylcrank_node/request/idempotent_request.cpp
@@ -48,6 +48,9 @@
     return it == attempt_end::timed_out || it == attempt_end::stalled ? 504 : 502;
 }
 
+// Attempts abandoned by the check before the first byte cost the upstream nothing and are not retries.
+constexpr unsigned most_denied = 8;
+
 } // namespace
 
 idempotent_request::idempotent_request(idempotent_flow& flow, idempotent_flow::request it)
@@ -257,6 +260,8 @@
     }
     if (it.end != attempt_end::denied) {
         excluded_.push_back(upstream);
+    } else if (++denied_ <= most_denied) {
+        --attempts_;
     }
     const bool is_refused = find_header(it.shed.headers, "Berylcrank-Retry") == "no";
     const bool is_continuable = !stream_ || (progress_.is_resumable() && !progress_.is_whole() &&
--- a/modules/berylcrank_node/request/idempotent_request.h
+++ b/modules/berylcrank_node/request/idempotent_request.h
@@ -58,6 +58,7 @@
     // The attempts so far.
     std::vector<std::string> excluded_;
     unsigned attempts_{0};
+    unsigned denied_{0};
     run_verdict verdict_{run_verdict::not_run}; ///< Of all attempts together.
     after_cancel after_cancel_{after_cancel::nothing};
 
--- a/modules/berylcrank_node/request/node_router.cpp
+++ b/modules/berylcrank_node/request/node_router.cpp
@@ -46,8 +46,12 @@
         refused({.status = status_unavailable, .reason = "this node is cut off from the log and most nodes"});
         return;
     }
-    acquire(
-        std::make_shared<search>(std::move(it), std::move(found), std::move(refused), std::move(service)));
+    const auto give_up = std::min(it.deadline, parts_.time.now() + longest_permit_search);
+    acquire(std::make_shared<search>(search{.request = std::move(it),
+                                            .found = std::move(found),
+                                            .refused = std::move(refused),
+                                            .service = std::move(service),
+                                            .give_up = give_up}));
 }
 
 void node_router::tick() {
--- a/modules/berylcrank_node/request/order_attempt.cpp
+++ b/modules/berylcrank_node/request/order_attempt.cpp
@@ -107,6 +107,10 @@
     const auto upstream = target_->upstream();
     target_->finish(reported);
     if (!dispatched_.has_value()) {
+        if (it.end == attempt_end::denied) {
+            run_->on_denied(upstream);
+            return;
+        }
         // Only the end of the client itself cancels an order; it takes no other attempt.
         run_->on_not_sent(upstream, it.end != attempt_end::cancelled);
         return;
--- a/modules/berylcrank_node/request/order_run.cpp
+++ b/modules/berylcrank_node/request/order_run.cpp
@@ -12,6 +12,9 @@
 
 constexpr int http_unavailable = 503;
 
+// Attempts abandoned by the check before the first byte cost the upstream nothing and are not retries.
+constexpr unsigned most_denied = 8;
+
 } // namespace
 
 order_run::order_run(const order_parts& parts, std::shared_ptr<order_shared> shared, order_request request,
@@ -52,6 +55,14 @@
     try_next(upstream, is_retry_useful);
 }
 
+void order_run::on_denied(const std::string& upstream) {
+    if (++denied_ <= most_denied) {
+        route();
+    } else {
+        try_next(upstream, true);
+    }
+}
+
 void order_run::on_not_run(std::uint32_t attempt, const std::string& upstream, bool is_retry_useful) {
     if (parts_.table.attempt_not_run(id_, attempt)) {
         try_next(upstream, is_retry_useful);
--- a/modules/berylcrank_node/request/order_run.h
+++ b/modules/berylcrank_node/request/order_run.h
@@ -62,6 +62,10 @@
     /** An attempt ended before `begin_dispatch` allowed it. */
     void on_not_sent(const std::string& upstream, bool is_retry_useful);
 
+    /** The check before the first byte abandoned an attempt, e.g. for want of a permit on a new connection.
+       The order is routed again, which is no retry. */
+    void on_denied(const std::string& upstream);
+
     /** A dispatched attempt is proven not to have run. `is_retry_useful` is false if the upstream's answer
        asks for no retry, because it is overloaded. */
     void on_not_run(std::uint32_t attempt, const std::string& upstream, bool is_retry_useful);
@@ -92,6 +96,7 @@
     instant deadline_;
     std::shared_ptr<order_reply> reply_;
     std::vector<std::string> tried_;
+    unsigned denied_{0};
 };
 
 } // namespace berylcrank
