Search more seeds for the faulty variant that trusts a refused read

The changed messages alter every random schedule, and the variant trusts_refusal, which must be found, is first found at seed 1557 instead of 163. Change: up to 6000 seeds for this variant; the search ends at the first violation.

--- a/tests/cold/cold_explorer_test.cpp
+++ b/tests/cold/cold_explorer_test.cpp
@@ -51,7 +51,7 @@
     constexpr std::uint64_t enough = 1000;
     CHECK(seeds_to_violation({.ignores_check = true}, enough) > 0);
     CHECK(seeds_to_violation({.confirms_always = true}, enough) > 0);
-    CHECK(seeds_to_violation({.trusts_refusal = true}, enough) > 0);
+    CHECK(seeds_to_violation({.trusts_refusal = true}, 6 * enough) > 0); // The rarest of them.
     CHECK(seeds_to_violation({.skips_wait = true}, enough) > 0);
     CHECK(seeds_to_violation({.trusts_ports = true}, enough) > 0);
     CHECK(seeds_to_violation({.has_no_run_limit = true}, enough) > 0);
