Mark a false linter report on the comparison of incarnations

Cause: modernize-use-nullptr reports the defaulted comparison wherever incarnations are compared with <. Change: a comment. Not rebuilt: a comment only.

--- a/modules/berylcrank_core/identity/incarnation.h
+++ b/modules/berylcrank_core/identity/incarnation.h
@@ -13,6 +13,7 @@
 struct incarnation {
     std::uint64_t value{0}; ///< 0 means none.
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): false report
     constexpr auto operator<=>(const incarnation&) const = default;
 
     /** True if this names a run. */
