--- a/modules/berylcrank_config/state/group_record.h
+++ b/modules/berylcrank_config/state/group_record.h
@@ -13,8 +13,8 @@
 /** Admission group of an upstream, from a hash of its name that is the same on all nodes. */
 std::uint32_t group_of(std::string_view upstream);
 
-/** Content of an `assign` record of the log: one request to make a node the holder of a group. The first record
-    whose `replaces` equals the holder in force wins. @see group_holders */
+/** Content of an `assign` record of the log: one request to make a node the holder of a group. The first
+   record whose `replaces` equals the holder in force wins. @see group_holders */
 struct group_record {
     std::uint32_t group{0};
     incarnation holder;       ///< Becomes the holder.
