--- a/modules/berylcrank_config/state/state_content.cpp
+++ b/modules/berylcrank_config/state/state_content.cpp
@@ -19,10 +19,10 @@
     duplicate = false;
     auto reason = rejection_reason(it, fault, objects, outcomes);
     ticket_outcome out{.number = it.number,
-                             .offset = offset,
-                             .digest = digest,
-                             .accepted = !reason.has_value(),
-                             .reason = std::move(reason).value_or("")};
+                       .offset = offset,
+                       .digest = digest,
+                       .accepted = !reason.has_value(),
+                       .reason = std::move(reason).value_or("")};
     if (out.accepted) {
         put_objects(it, offset);
     }
--- a/tests/support/load_caller.h
+++ b/tests/support/load_caller.h
@@ -23,7 +23,7 @@
     int lookups_failed{0}; ///< No whole right answer.
     int downloads{0};
     int downloads_failed{0};
-    int wrong_answers{0};              ///< Answers to another request, or with wrong bytes.
+    int wrong_answers{0}; ///< Answers to another request, or with wrong bytes.
     std::string failures; ///< A few of them, one a line, for messages.
 
     /** Orders whose last verdict is `verdict`. */
