--- a/modules/berylcrank_http/server/http_server.h
+++ b/modules/berylcrank_http/server/http_server.h
@@ -13,10 +13,11 @@
 /** Serves HTTP/1.1 to callers with libmicrohttpd.
 
     Requests that are malformed, too large (413, 431) or sent too slowly (408) are refused before they reach
-   the handler, with `Berylcrank-Verdict: not-run`. Two cases get a bare 4xx status or a closed connection
-   instead, because libmicrohttpd answers them itself: a request line or header that it cannot parse, and a
-   body that is malformed or becomes too large or too slow half way. A caller that shuts down its sending side
-   counts as gone.
+   the handler, with `Berylcrank-Verdict: not-run`, or
+   `may-have-run` if they carry an `Idempotency-Key`, since an earlier copy may have run. Two cases get a bare
+   4xx status or a closed connection instead, because libmicrohttpd answers them itself: a request line or
+   header that it cannot parse, and a body that is malformed or becomes too large or too slow half way. A
+   caller that shuts down its sending side counts as gone.
     @see http_handler, start_http_server
 */
 class http_server {
--- a/modules/berylcrank_http/server/mhd_server.cpp
+++ b/modules/berylcrank_http/server/mhd_server.cpp
@@ -224,7 +224,10 @@
     const auto reason = reason_of(status);
     auto* const response = MHD_create_response_from_buffer(reason.size(), const_cast<char*>(reason.data()),
                                                            MHD_RESPMEM_PERSISTENT);
-    const auto verdict = std::string(to_string(run_verdict::not_run));
+    // An earlier copy with the same id may have run; only the home of the id knows.
+    const bool has_id =
+        MHD_lookup_connection_value(it.connection, MHD_HEADER_KIND, "Idempotency-Key") != nullptr;
+    const std::string verdict(to_string(has_id ? run_verdict::may_have_run : run_verdict::not_run));
     MHD_add_response_header(response, "Berylcrank-Verdict", verdict.c_str());
     MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
     const auto result = MHD_queue_response(it.connection, status, response);
--- a/modules/berylcrank_node/control/late_handler.h
+++ b/modules/berylcrank_node/control/late_handler.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "modules/berylcrank_core/verdict/run_verdict.h"
 #include "modules/berylcrank_http/server/http_exchange.h"
 
 #include <atomic>
+#include <string>
 
 namespace berylcrank {
 
@@ -21,7 +23,10 @@
             return;
         }
         constexpr int status_unavailable = 503;
-        it->answer({.head = {.status = status_unavailable, .headers = {{"Berylcrank-Verdict", "not-run"}}},
+        // An id may be one of an earlier run of this node, which may have run it.
+        const bool has_id = count_headers(it->request().headers, "Idempotency-Key") > 0;
+        const std::string verdict(to_string(has_id ? run_verdict::may_have_run : run_verdict::not_run));
+        it->answer({.head = {.status = status_unavailable, .headers = {{"Berylcrank-Verdict", verdict}}},
                     .body = "this node is starting\n"});
     }
 
--- a/modules/berylcrank_node/control/node.cpp
+++ b/modules/berylcrank_node/control/node.cpp
@@ -66,14 +66,17 @@
 
 boost::leaf::result<std::unique_ptr<node>> node::start(const settings& it) {
     const auto reader = it.get();
-    listeners open{.handler = std::make_unique<late_handler>(),
+    listeners open{.loops = std::make_shared<loop_group>(reader.getThreads().getServer()),
+                   .handler = std::make_unique<late_handler>(),
                    .service = std::make_unique<node_peer_service>()};
     std::string error;
     open.endpoint = make_peer_endpoint({.address = reader.getRpcAddress().cStr()}, *open.service, error);
     if (open.endpoint == nullptr) {
         return boost::leaf::new_error("rpc_address: " + error);
     }
-    BOOST_LEAF_ASSIGN(open.server, start_http_server(server_options(reader), *open.handler));
+    auto serving = server_options(reader);
+    serving.loops = open.loops;
+    BOOST_LEAF_ASSIGN(open.server, start_http_server(serving, *open.handler));
     std::unique_ptr<node> out(new node(reader, std::move(open)));
     out->begin();
     return out;
@@ -100,7 +103,7 @@
                 .issuer = issuer_,
                 .client = *endpoint_},
                {}),
-      client_(make_upstream_client({.threads = it.getThreads().getUpstream()})),
+      client_(make_upstream_client({.loops = open_.loops})),
       router_({.time = clock_, .gate = gate_, .permits = permits_, .work = work_}, services_),
       table_(table_options(it)), homes_(peers_),
       orders_({.limits = {.recordable_bytes = it.getOrders().getAnswerBytes()}},
@@ -124,6 +127,13 @@
                 .work = work_,
                 .in_flight = [this] { return server_->open_exchanges() + orders_.running(); }},
                control_options(it, self_)),
+      collector_({.time = clock_,
+                  .endpoint = *endpoint_,
+                  .orders = orders_,
+                  .table = table_,
+                  .config = config_,
+                  .issuer = issuer_,
+                  .peers = peers_}),
       pages_({.vm = it.getVm().cStr(),
               .failure_domain = it.getFailureDomain().cStr(),
               .http_address = server_->address(),
@@ -136,6 +146,7 @@
               .config = config_,
               .services = services_,
               .metrics = metrics_,
+              .counters = collector_,
               .not_ready_because = [this] { return not_ready_because(); },
               .freshness = [this] { return std::string(to_string(control_.current_freshness())); }}),
       dispatcher_({.time = clock_,
@@ -166,8 +177,9 @@
     control_.stop();
     vm_watch_.stop();
     config_.stop();
-    client_.reset();
+    // The server's exchanges refer to attempts of the client, which answer into the table and the endpoint.
     open_.server.reset();
+    client_.reset();
     open_.endpoint.reset();
 }
 
--- a/modules/berylcrank_node/control/node.h
+++ b/modules/berylcrank_node/control/node.h
@@ -10,6 +10,7 @@
 #include "modules/berylcrank_node/control/peer_state_puller.h"
 #include "modules/berylcrank_node/control/status_pages.h"
 #include "modules/berylcrank_node/control/vm_list_watch.h"
+#include "modules/berylcrank_node/metrics/node_collector.h"
 #include "modules/berylcrank_node/request/node_router.h"
 #include "modules/berylcrank_node/request/request_dispatcher.h"
 #include "modules/berylcrank_platform/log/http_log_service.h"
@@ -49,6 +50,8 @@
 private:
     /** What must listen before the rest can be built, since its port may be chosen by the kernel. */
     struct listeners {
+        std::shared_ptr<loop_group>
+            loops; ///< Shared, so that a request stays on one thread from caller to upstream.
         std::unique_ptr<late_handler> handler;
         std::unique_ptr<http_server> server;
         std::unique_ptr<node_peer_service> service;
@@ -87,6 +90,7 @@
     order_flow orders_;
     idempotent_flow idempotent_;
     node_control control_;
+    node_collector collector_;
     status_pages pages_;
     request_dispatcher dispatcher_;
     vm_list_watch vm_watch_;
--- a/modules/berylcrank_node/control/node_control.h
+++ b/modules/berylcrank_node/control/node_control.h
@@ -47,7 +47,7 @@
 
     struct options {
         millis tick{10};
-        millis gossip{300};
+        millis gossip{500};
         millis gossip_call{1000};
         millis isolation_limit{2500};
         leave_rule::options leave;
--- a/modules/berylcrank_node/control/status_pages.cpp
+++ b/modules/berylcrank_node/control/status_pages.cpp
@@ -105,7 +105,7 @@
         return text_answer(200, "live\n");
     }
     if (path == "/metrics") {
-        return text_answer(200, parts_.metrics.text());
+        return text_answer(200, parts_.metrics.text(parts_.counters));
     }
     return std::nullopt;
 }
--- a/modules/berylcrank_node/control/status_pages.h
+++ b/modules/berylcrank_node/control/status_pages.h
@@ -33,6 +33,7 @@
         const config_follower& config;
         const service_table& services;
         node_metrics& metrics;
+        const prometheus::Collectable& counters;
         readiness not_ready_because;
         std::function<std::string()> freshness;
     };
--- a/modules/berylcrank_node/metrics/node_metrics.cpp
+++ b/modules/berylcrank_node/metrics/node_metrics.cpp
@@ -1,5 +1,6 @@
 #include "modules/berylcrank_node/metrics/node_metrics.h"
 
+#include <iterator>
 #include <prometheus/text_serializer.h>
 
 namespace berylcrank {
@@ -62,16 +63,12 @@
     }
 }
 
-prometheus::Counter& node_metrics::counter(const std::string& name, const std::string& help) {
-    return counter_family(*registry_, name, help).Add({});
-}
-
-prometheus::Gauge& node_metrics::gauge(const std::string& name, const std::string& help) {
-    return gauge_family(*registry_, name, help).Add({});
-}
-
-std::string node_metrics::text() const {
-    return prometheus::TextSerializer().Serialize(registry_->Collect());
+std::string node_metrics::text(const prometheus::Collectable& more) const {
+    auto families = registry_->Collect();
+    auto others = more.Collect();
+    families.insert(families.end(), std::make_move_iterator(others.begin()),
+                    std::make_move_iterator(others.end()));
+    return prometheus::TextSerializer().Serialize(families);
 }
 
 void node_metrics::add_service(const std::string& name, service_metrics& it) {
--- a/modules/berylcrank_node/metrics/node_metrics.h
+++ b/modules/berylcrank_node/metrics/node_metrics.h
@@ -27,14 +27,8 @@
     /** Calls `visit` for each service seen so far. */
     void for_each_service(const std::function<void(const std::string&, service_metrics&)>& visit);
 
-    /** Adds 1 to the counter `berylcrank_<name>_total` of the node; `help` is used at the first call. */
-    prometheus::Counter& counter(const std::string& name, const std::string& help);
-
-    /** The gauge `berylcrank_<name>` of the node. */
-    prometheus::Gauge& gauge(const std::string& name, const std::string& help);
-
-    /** All metrics in the Prometheus text format. */
-    [[nodiscard]] std::string text() const;
+    /** All metrics in the Prometheus text format, with those of `more`. */
+    [[nodiscard]] std::string text(const prometheus::Collectable& more) const;
 
 private:
     void add_service(const std::string& name, service_metrics& it);
--- a/schema/settings.capnp
+++ b/schema/settings.capnp
@@ -56,15 +56,14 @@
   }
 
   struct Gossip {
-    intervalMs @0 :UInt32 = 300 $unit("ms") $least(20) $most(5000) $doc("Time between two gossip rounds.");
+    intervalMs @0 :UInt32 = 500 $unit("ms") $least(20) $most(5000) $doc("Time between two gossip rounds.");
     fanOut @1 :UInt16 = 3 $least(1) $most(16) $doc("Peers contacted in one round.");
     silentMs @2 :UInt32 = 1500 $unit("ms") $least(100) $doc("Time without news after which a peer counts as silent.");
     maxNodes @3 :UInt16 = 17 $least(1) $most(4096) $doc("Largest plausible number of nodes; divides shared budgets.");
   }
 
   struct Threads {
-    server @0 :UInt16 = 2 $least(1) $most(64) $doc("Threads that serve callers.");
-    upstream @1 :UInt16 = 2 $least(1) $most(64) $doc("Threads that talk to upstreams.");
+    server @0 :UInt16 = 2 $least(1) $most(64) $doc("Threads that serve callers and talk to upstreams.");
   }
 
   struct Cold {
