--- a/models/cold.pml
+++ b/models/cold.pml
@@ -10,13 +10,13 @@
 #define CONFIRM 1 /* longest time between the proof of the log's end and a grant */
 #define SPREAD 1  /* in which a record's offset reaches most nodes during an outage */
 #define END 5     /* last tick */
-#ifdef MUTANT_RELEASE_ANY
+#ifdef RELEASE_ANY
 #define IDS(h) (3 - h) /* permits of a holder; the fault shows with the third one */
 #else
 #define IDS(h) (2 - h)
 #endif
 
-#ifdef MUTANT_NO_WAIT
+#ifdef NO_WAIT
 #define WAIT 0
 #else
 #define WAIT (PERMIT + CONFIRM + SPREAD) /* of a new holder */
@@ -54,18 +54,18 @@
 
 byte d, h;
 
-#ifdef MUTANT_ISSUE_UNCONFIRMED
+#ifdef ISSUE_UNCONFIRMED
 #define CONFIRMED(x) true
 #else
 #define CONFIRMED(x) (h == 1 || ask_now[x] <= conf + CONFIRM)
 #endif
-#ifdef MUTANT_NO_CHECK
+#ifdef NO_CHECK
 #define IN_TIME(x) true
 #else
 #define IN_TIME(x) (t + RUN <= ends_at[x])
 #endif
 
-#ifdef MUTANT_TRUST_REFUSAL
+#ifdef TRUST_REFUSAL
 #define UNREPLACED true
 #else
 #define UNREPLACED (!has_read || read_from < read_at + SPREAD)
@@ -86,7 +86,7 @@
 
 /* Drops what can no longer matter, so that equal situations are one state. */
 inline forget(x) {
-#ifndef MUTANT_EXPIRE_FROM_GRANT
+#ifndef EXPIRE_FROM_GRANT
     if
     :: (ask[x] == 1 || ask[x] == 2) && ask_at[x] + PERMIT < t + RUN ->
         ask[x] = 0; /* a permit for it would be too late */
@@ -109,7 +109,7 @@
 }
 
 inline forget_release(x) {
-#ifndef MUTANT_RELEASE_ANY
+#ifndef RELEASE_ANY
     if
     :: rel_id[x] != 0 && out[rel_to[x]] != rel_id[x] -> rel_id[x] = 0; rel_to[x] = 0
     :: else
@@ -120,7 +120,7 @@
 
 inline clock_tick() {
     t++;
-#ifndef MUTANT_NO_RUN_LIMIT
+#ifndef NO_RUN_LIMIT
     if
     :: fly[0] == 1 && fly_end[0] <= t -> fly[0] = 2; fly_end[0] = 0
     :: else
@@ -155,7 +155,7 @@
         fi
     :: !read_down && read_saw -> holds[0] = false
     :: else ->
-#ifdef MUTANT_CONFIRM_AT_END
+#ifdef CONFIRM_AT_END
         conf = t
 #else
         conf = read_from
@@ -195,7 +195,7 @@
 
 inline take_permit(x) {
     ask[x] = 4;
-#ifdef MUTANT_EXPIRE_FROM_GRANT
+#ifdef EXPIRE_FROM_GRANT
     ends_at[x] = t + PERMIT;
 #else
     ends_at[x] = ask_at[x] + PERMIT;
@@ -216,7 +216,7 @@
         fly[x] = 1;
         fly_end[x] = t + RUN;
         assert(fly[0] != 1 || fly[1] != 1);
-#ifdef MUTANT_RELEASE_EARLY
+#ifdef RELEASE_EARLY
         release(x);
 #endif
     :: else -> release(x)
@@ -235,7 +235,7 @@
 
 inline deliver_release(x) {
     h = rel_to[x];
-#ifdef MUTANT_RELEASE_ANY
+#ifdef RELEASE_ANY
     out[h] = 0;
 #else
     if
@@ -253,7 +253,7 @@
     :: atomic { log < 2 -> log++ }
     :: atomic { !log_down && !appended -> appended = true }
     :: atomic { !log_down && appended && !has_read -> read_assignment() }
-#ifdef MUTANT_LOCAL_VIEW
+#ifdef LOCAL_VIEW
     :: atomic { !holds[1] -> holds[1] = true }
 #endif
     :: atomic { !reads && holds[0] -> start_read() }
--- a/models/cold_trust.pml
+++ b/models/cold_trust.pml
@@ -22,17 +22,17 @@
 
 byte d, p;
 
-#ifdef MUTANT_WARM_ANY
+#ifdef WARM_ANY
 #define IS_WARM(x) (named[x] != 0 && known[x] != 0)
 #else
-#ifdef MUTANT_TRUST_ON_ANSWER
+#ifdef TRUST_ON_ANSWER
 #define IS_WARM(x) (named[x] != 0)
 #else
 #define IS_WARM(x) (named[x] != 0 && (known[x] & (1 << (named[x] - 1))) != 0)
 #endif
 #endif
 /* The upstream is believed warm because some connection once led to a warm process. */
-#ifdef MUTANT_NO_PERMIT_WHEN_WARM
+#ifdef NO_PERMIT_WHEN_WARM
 #define VERIFIED(x) (known[x] != 0)
 #else
 #define VERIFIED(x) IS_WARM(x)
@@ -43,7 +43,7 @@
     if
     :: conn[x] != up + 1 ->
         conn[x] = up + 1;
-#ifndef MUTANT_TRUST_AFTER_RESTART
+#ifndef TRUST_AFTER_RESTART
         named[x] = 0
 #endif
     :: else
@@ -82,7 +82,7 @@
 }
 
 inline count_answer(x) {
-#ifdef MUTANT_COUNT_ANY
+#ifdef COUNT_ANY
     p = up;
 #else
     p = late[x] - 1;
