--- /dev/null
+++ b/modules/berylcrank_balance/berylcrank_balance.h
@@ -0,0 +1,22 @@
+#pragma once
+
+/** @file
+    Module berylcrank_balance: the decisions of a node that serves callers on the platform.
+
+    Areas: config (routes and splits), catalog (records of the store, upstreams), load (what is known of upstreams),
+    choice (which upstream), admission (waiting and refusing), budget (resends), warmup (cold upstreams), peers
+    (other nodes and duties).
+
+    Dependencies: berylcrank_core, Abseil, xxhash. Does no I/O; time and randomness are arguments. One thread.
+*/
+
+#include "modules/berylcrank_balance/admission/wait_queue.h"
+#include "modules/berylcrank_balance/budget/resend_budget.h"
+#include "modules/berylcrank_balance/catalog/record_book.h"
+#include "modules/berylcrank_balance/catalog/upstream_directory.h"
+#include "modules/berylcrank_balance/choice/upstream_choice.h"
+#include "modules/berylcrank_balance/config/route_table.h"
+#include "modules/berylcrank_balance/config/weighted_split.h"
+#include "modules/berylcrank_balance/load/load_book.h"
+#include "modules/berylcrank_balance/peers/peer_table.h"
+#include "modules/berylcrank_balance/warmup/warmup_gate.h"
--- /dev/null
+++ b/modules/berylcrank_balance/catalog/record_book.cpp
@@ -0,0 +1,73 @@
+#include "modules/berylcrank_balance/catalog/record_book.h"
+
+#include <absl/container/flat_hash_set.h>
+#include <algorithm>
+
+namespace berylcrank {
+
+void record_book::merge_one(const state_record& it) {
+    auto& held = records_[it.key];
+    if (!held.record.key.empty() && held.record.offset >= it.offset) {
+        return;
+    }
+    held.record = it;
+    if (changed_(it)) {
+        held.changed_at = it.offset;
+        changed_end_ = std::max(changed_end_, it.offset + 1);
+    }
+}
+
+void record_book::merge(std::span<const state_record> records, std::uint64_t end, instant confirmed) {
+    for (const auto& it : records) {
+        merge_one(it);
+    }
+    complete_ = true;
+    end_ = std::max(end_, end);
+    confirm(end, confirmed);
+}
+
+void record_book::merge_snapshot(std::span<const state_record> records, std::uint64_t end, instant confirmed) {
+    absl::flat_hash_set<std::string> present;
+    for (const auto& it : records) {
+        present.insert(it.key);
+    }
+    std::vector<state_record> lacking;
+    for (const auto& [key, held] : records_) {
+        if (!held.record.removed && held.record.offset < end && !present.contains(key)) {
+            lacking.push_back({.key = key, .offset = end == 0 ? 0 : end - 1, .removed = true});
+        }
+    }
+    for (auto& it : lacking) {
+        it.offset = std::max(it.offset, records_[it.key].record.offset + 1);
+    }
+    merge(lacking, end, confirmed);
+    merge(records, end, confirmed);
+}
+
+void record_book::confirm(std::uint64_t end, instant when) {
+    if (complete_ && end_ >= end) {
+        confirmed_ = std::max(confirmed_, when);
+    }
+}
+
+bool record_book::extend(std::uint64_t changed, std::uint64_t end, instant confirmed) {
+    if (!complete_ || end_ < changed) {
+        return false;
+    }
+    end_ = std::max(end_, end);
+    confirm(end, confirmed);
+    return true;
+}
+
+std::vector<state_record> record_book::since(std::uint64_t from) const {
+    std::vector<state_record> result;
+    for (const auto& [key, it] : records_) {
+        if (it.changed_at >= from) {
+            result.push_back(it.record);
+        }
+    }
+    std::sort(result.begin(), result.end(), [](const auto& a, const auto& b) { return a.offset < b.offset; });
+    return result;
+}
+
+} // namespace berylcrank
--- /dev/null
+++ b/modules/berylcrank_balance/catalog/upstream_directory.cpp
@@ -0,0 +1,134 @@
+#include "modules/berylcrank_balance/catalog/upstream_directory.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace berylcrank {
+
+namespace {
+
+absl::string_view key(std::string_view it) {
+    return {it.data(), it.size()};
+}
+
+bool is_older(const upstream_entry& entry, const upstream_entry& held) {
+    return entry.born < held.born || (entry.born == held.born && entry.sequence < held.sequence);
+}
+
+} // namespace
+
+upstream_ptr upstream_directory::apply(const upstream_entry& entry, millis warm_up, instant now) {
+    const auto held = find(entry.id);
+    if (held && is_older(entry, held->entry)) {
+        return nullptr;
+    }
+    const bool same_start = held && held->entry.born == entry.born && held->entry.address == entry.address &&
+                            held->entry.service == entry.service;
+    if (same_start) {
+        bool changed = held->entry.draining != entry.draining || held->lapsed;
+        held->entry = entry;
+        held->leaving = entry.draining;
+        held->lapsed = false;
+        if (entry.cold_left > millis{} && held->cold_until < now) {
+            set_cold(*held, entry.cold_left, now);
+            changed = true;
+        }
+        return changed ? held : nullptr;
+    }
+    const bool restarted = held != nullptr;
+    drop(entry.id);
+    auto it = std::make_shared<upstream>();
+    it->entry = entry;
+    it->number = static_cast<std::uint32_t>(XXH3_64bits(entry.id.data(), entry.id.size()));
+    it->leaving = entry.draining;
+    set_cold(*it, restarted ? std::max(entry.cold_left, warm_up) : entry.cold_left, now);
+    by_id_[entry.id] = it;
+    by_number_[it->number] = it;
+    by_service_[entry.service].push_back(it);
+    return it;
+}
+
+void upstream_directory::remove(std::string_view id, bool after_outage, instant now) {
+    const auto it = find(id);
+    if (!it || (it->lapsed && after_outage)) {
+        return;
+    }
+    if (after_outage && !it->entry.draining) {
+        it->lapsed = true;
+        it->lapsed_until = now + lapse_grace;
+        return;
+    }
+    it->leaving = true;
+    drop(std::string(id));
+}
+
+void upstream_directory::expire(instant now) {
+    std::vector<std::string> ended;
+    for (const auto& [id, it] : by_id_) {
+        if (it->lapsed && it->lapsed_until <= now) {
+            it->leaving = true;
+            ended.push_back(id);
+        }
+    }
+    for (const auto& it : ended) {
+        drop(it);
+    }
+}
+
+void upstream_directory::drop(const std::string& id) {
+    const auto found = by_id_.find(id);
+    if (found == by_id_.end()) {
+        return;
+    }
+    const auto it = found->second;
+    by_id_.erase(found);
+    by_number_.erase(it->number);
+    std::erase(by_service_[it->entry.service], it);
+}
+
+void upstream_directory::set_evacuated(const std::string& failure_domain, bool evacuated, millis warm_up,
+                                       instant now) {
+    if (evacuated) {
+        evacuated_.insert(failure_domain);
+        return;
+    }
+    if (evacuated_.erase(failure_domain) == 0) {
+        return;
+    }
+    for (const auto& [id, it] : by_id_) {
+        if (it->entry.failure_domain == failure_domain) {
+            set_cold(*it, warm_up, now);
+        }
+    }
+}
+
+void upstream_directory::set_cold(upstream& it, millis left, instant when) {
+    it.cold_until = when + left;
+    it.cold_known = when;
+}
+
+bool upstream_directory::usable(const upstream& it) const {
+    return !it.leaving && !evacuated(it.entry.failure_domain);
+}
+
+bool upstream_directory::evacuated(std::string_view failure_domain) const {
+    return evacuated_.contains(key(failure_domain));
+}
+
+const std::vector<upstream_ptr>& upstream_directory::of_service(std::string_view service) const {
+    static const std::vector<upstream_ptr> none;
+    const auto it = by_service_.find(key(service));
+    return it == by_service_.end() ? none : it->second;
+}
+
+upstream_ptr upstream_directory::find(std::string_view id) const {
+    const auto it = by_id_.find(key(id));
+    return it == by_id_.end() ? nullptr : it->second;
+}
+
+upstream_ptr upstream_directory::find(std::uint32_t number) const {
+    const auto it = by_number_.find(number);
+    return it == by_number_.end() ? nullptr : it->second;
+}
+
+} // namespace berylcrank
--- /dev/null
+++ b/modules/berylcrank_balance/choice/upstream_choice.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "modules/berylcrank_balance/catalog/upstream_directory.h"
+#include "modules/berylcrank_balance/load/load_book.h"
+#include "modules/berylcrank_core/random/random_source.h"
+
+#include <functional>
+#include <span>
+#include <string_view>
+
+namespace berylcrank {
+
+/** Weights of the choice. One unit is the time that a request takes at an idle upstream of usual slowness. */
+struct choice_options {
+    std::string failure_domain;        ///< Where this node is.
+    double other_domain_cost{0.35};    ///< Added for an upstream in another failure domain.
+    double fill_cost{0.15};            ///< Added in proportion to the slots that are taken.
+    double knee_share{0.8};            ///< Share of the slots from which upstreams slow down.
+    double knee_cost{0.7};             ///< Added past the knee.
+    double jitter{0.12};               ///< Spread of the costs, so that nodes do not all pick the same upstream.
+    double slot_share{1.0};            ///< Share of the slots that may be filled.
+};
+
+/** The upstream for a request and what decided it. */
+struct upstream_pick {
+    upstream_ptr it;         ///< Null if none has room.
+    double cost{0};
+    double runner_up{0};     ///< Cost of the next best; 0 if there was none.
+    int in_flight{0};
+    millis report_age;
+    bool any_usable{false};  ///< Whether the service has an upstream that may receive requests at all.
+};
+
+/** Whether a cold upstream may receive a request from this node now. */
+using cold_check = std::function<bool(const upstream&)>;
+
+/** Picks the upstream at which a request is expected to end soonest.
+
+    `tried` are the numbers of upstreams that the request already reached.
+    @see load_book, upstream_directory
+*/
+upstream_pick choose_upstream(const upstream_directory& directory, load_book& loads, std::string_view service,
+                              std::span<const std::uint32_t> tried, const cold_check& cold_allowed,
+                              const choice_options& options, random_source& random, instant now);
+
+/** Expected duration at an upstream that has `in_flight` requests, in the units of `choice_options`. */
+double expected_cost(int in_flight, int slots, double slowness, const choice_options& options);
+
+} // namespace berylcrank
--- a/modules/berylcrank_core/time/clock.h
+++ b/modules/berylcrank_core/time/clock.h
@@ -3,6 +3,7 @@
 #include "modules/berylcrank_core/time/instant.h"
 
 #include <atomic>
+#include <ctime>
 
 namespace berylcrank {
 
@@ -40,6 +41,30 @@
     std::chrono::steady_clock::time_point start_;
 };
 
+/** The clock of the operating system that also counts the time for which the machine was suspended, so that what
+    was learnt before a suspension is as old as it really is.
+
+    @see clock
+*/
+class boot_clock final : public clock {
+public:
+    boot_clock() : start_(micros()) {}
+
+    [[nodiscard]] instant now() const override { return instant{origin_gap + millis::from_micros(micros() - start_)}; }
+
+private:
+    // Distance from the origin, which stands for "never", to the construction.
+    static constexpr millis origin_gap{3'600'000};
+
+    static std::int64_t micros() {
+        timespec it{};
+        clock_gettime(CLOCK_BOOTTIME, &it);
+        return static_cast<std::int64_t>(it.tv_sec) * 1'000'000 + it.tv_nsec / 1000;
+    }
+
+    std::int64_t start_;
+};
+
 /** A clock that moves only when told to.
 
     @see clock
--- /dev/null
+++ b/modules/berylcrank_gateway/client/client_connection.cpp
@@ -0,0 +1,236 @@
+#include "modules/berylcrank_gateway/client/client_connection.h"
+
+#include <absl/strings/numbers.h>
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <netinet/tcp.h>
+
+namespace berylcrank {
+
+namespace {
+
+// One thread reads all connections, one at a time.
+std::array<char, 65536> scratch; // NOLINT(cppcoreguidelines-avoid-non-const-global-variables)
+
+constexpr std::uint32_t header_limit = 65536; // bytes of a response head
+
+millis keep_alive_of(const header_list& headers) {
+    const auto* value = find_header(headers, "Keep-Alive");
+    if (value == nullptr) {
+        return {};
+    }
+    const auto at = value->find("timeout=");
+    std::int64_t seconds = 0;
+    if (at == std::string::npos ||
+        !absl::SimpleAtoi(value->substr(at + 8, value->find_first_not_of("0123456789", at + 8) - at - 8),
+                          &seconds)) {
+        return {};
+    }
+    return millis{seconds * 1000};
+}
+
+} // namespace
+
+std::string_view to_string(call_failure it) {
+    switch (it) {
+    case call_failure::not_connected:
+        return "not-connected";
+    case call_failure::no_response:
+        return "no-response";
+    case call_failure::broken_off:
+        return "broken-off";
+    case call_failure::garbled:
+        return "garbled";
+    }
+    return "unknown";
+}
+
+void client_connection::call(std::string request, response_sink& sink, bool no_body) {
+    sink_ = &sink;
+    request_ = std::move(request);
+    no_body_ = no_body;
+    head_passed_ = false;
+    sent_ = false;
+    parser_.reset();
+    if (connected_) {
+        send();
+    } else {
+        connect();
+    }
+}
+
+void client_connection::connect() {
+    boost::system::error_code ec;
+    socket_.open(address_.protocol(), ec);
+    if (!ec) {
+        socket_.non_blocking(true, ec);
+        socket_.set_option(boost::asio::ip::tcp::no_delay(true), ec);
+        const auto limit = static_cast<unsigned>(unacknowledged_limit.count());
+        setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof(limit));
+    }
+    socket_.async_connect(address_, [self = shared_from_this()](const auto& error) {
+        if (self->closed_) {
+            return;
+        }
+        if (error) {
+            self->fail(call_failure::not_connected);
+            return;
+        }
+        self->connected_ = true;
+        self->send();
+    });
+}
+
+void client_connection::send() {
+    sent_ = true;
+    // A failed write shows as end of input, after any response that is already here.
+    writer_.write(std::move(request_), shared_from_this(), [](bool) {});
+    request_.clear();
+    wait_for_bytes();
+}
+
+void client_connection::wait_for_bytes() {
+    if (closed_ || waiting_ || paused_) {
+        return;
+    }
+    waiting_ = true;
+    socket_.async_wait(boost::asio::ip::tcp::socket::wait_read, [self = shared_from_this()](const auto& ec) {
+        self->waiting_ = false;
+        if (!ec && !self->closed_ && !self->paused_) {
+            self->read_bytes();
+        }
+    });
+}
+
+void client_connection::pause_reading(bool pause) {
+    paused_ = pause;
+    wait_for_bytes();
+}
+
+void client_connection::read_bytes() {
+    const auto self = shared_from_this();
+    boost::system::error_code ec;
+    const auto n = socket_.read_some(boost::asio::buffer(scratch), ec);
+    if (ec == boost::asio::error::would_block || ec == boost::asio::error::try_again) {
+        wait_for_bytes();
+        return;
+    }
+    if (ec) {
+        end_of_input(ec == boost::asio::error::eof);
+        return;
+    }
+    if (sink_ == nullptr) {
+        close(); // bytes that belong to no request
+        return;
+    }
+    consume({scratch.data(), n});
+    wait_for_bytes();
+}
+
+void client_connection::consume(std::string_view bytes) {
+    while (!bytes.empty() && !closed_) {
+        if (sink_ == nullptr) {
+            close(); // bytes after a complete response
+            return;
+        }
+        if (!parser_) {
+            parser_ = std::make_unique<response_parser>();
+            parser_->header_limit(header_limit);
+            parser_->skip(no_body_);
+        }
+        boost::beast::error_code ec;
+        const auto used = parser_->feed(bytes, ec);
+        bytes.remove_prefix(used);
+        if (ec) {
+            fail(head_passed_ ? call_failure::broken_off : call_failure::garbled);
+            return;
+        }
+        if (!pass_on()) {
+            return;
+        }
+        if (parser_ && parser_->is_done()) {
+            response_complete(!bytes.empty());
+        } else if (used == 0) {
+            return;
+        }
+    }
+}
+
+bool client_connection::pass_on() {
+    if (!parser_->is_header_done()) {
+        return true;
+    }
+    if (!head_passed_ && !discarding_) {
+        if (parser_->head.status < 200) {
+            discarding_ = true; // interim response
+        } else {
+            keep_alive_ = keep_alive_of(parser_->head.headers);
+            discarding_ = !sink_->on_head(parser_->head);
+            discarded_any_ = discarded_any_ || discarding_;
+            head_passed_ = !discarding_;
+        }
+    }
+    if (sink_ == nullptr || closed_) {
+        return false;
+    }
+    if (head_passed_ && !parser_->body.empty()) {
+        sink_->on_body(parser_->body);
+    }
+    parser_->body.clear();
+    return sink_ != nullptr && !closed_;
+}
+
+void client_connection::response_complete(bool bytes_left) {
+    const bool keeps = parser_->head.keep_alive;
+    parser_.reset();
+    if (discarding_) {
+        discarding_ = false;
+        if (!keeps) {
+            fail(call_failure::no_response);
+        }
+        return;
+    }
+    const bool reusable = keeps && !bytes_left && !discarded_any_ && writer_.pending() == 0;
+    auto* sink = sink_;
+    sink_ = nullptr;
+    idle_since_ = time_.now();
+    if (!reusable) {
+        close();
+    }
+    sink->on_done(reusable);
+}
+
+void client_connection::end_of_input(bool clean) {
+    if (sink_ != nullptr && clean && parser_ && parser_->is_header_done() && head_passed_) {
+        boost::beast::error_code ec;
+        parser_->put_eof(ec);
+        if (!ec && parser_->is_done()) {
+            parser_->head.keep_alive = false;
+            response_complete(false);
+            return;
+        }
+    }
+    fail(head_passed_ ? call_failure::broken_off : call_failure::no_response);
+}
+
+void client_connection::fail(call_failure why) {
+    auto* sink = sink_;
+    sink_ = nullptr;
+    close();
+    if (sink != nullptr) {
+        sink->on_failed(why);
+    }
+}
+
+void client_connection::cancel() {
+    sink_ = nullptr;
+    close();
+}
+
+void client_connection::close() {
+    closed_ = true;
+    boost::system::error_code ec;
+    socket_.close(ec);
+}
+
+} // namespace berylcrank
--- /dev/null
+++ b/modules/berylcrank_gateway/client/simple_call.cpp
@@ -0,0 +1,105 @@
+#include "modules/berylcrank_gateway/client/simple_call.h"
+
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+
+namespace berylcrank {
+
+class simple_caller::pending final : public response_sink {
+public:
+    pending(connection_pool& pool, std::string address, client_connection_ptr connection, instant limit,
+            std::size_t max_body, handler done)
+        : pool_(pool), address_(std::move(address)), connection_(std::move(connection)), limit_(limit),
+          max_body_(max_body), done_(std::move(done)) {}
+
+    void start(std::string request) { connection_->call(std::move(request), *this); }
+
+    bool on_head(const response_head& head) override {
+        result_.head = head;
+        return true;
+    }
+
+    void on_body(std::string_view bytes) override {
+        result_.body.append(bytes);
+        if (result_.body.size() > max_body_) {
+            connection_->cancel();
+            on_failed(call_failure::garbled);
+        }
+    }
+
+    void on_done(bool reusable) override {
+        if (reusable) {
+            pool_.give(address_, connection_);
+        }
+        result_.answered = true;
+        finish();
+    }
+
+    void on_failed(call_failure why) override {
+        result_.failure = why;
+        finish();
+    }
+
+    void check_time(instant now) {
+        if (!finished_ && now >= limit_) {
+            result_.timed_out = true;
+            const auto why = connection_->connected() ? call_failure::no_response : call_failure::not_connected;
+            connection_->cancel();
+            on_failed(why);
+        }
+    }
+
+    [[nodiscard]] bool finished() const { return finished_; }
+
+private:
+    void finish() {
+        if (finished_) {
+            return;
+        }
+        finished_ = true;
+        const auto done = std::move(done_);
+        done(result_);
+    }
+
+    connection_pool& pool_;
+    std::string address_;
+    client_connection_ptr connection_;
+    instant limit_;
+    std::size_t max_body_;
+    handler done_;
+    call_result result_;
+    bool finished_{false};
+};
+
+void simple_caller::call(const call_request& request, millis limit, handler done) {
+    auto it = std::make_shared<pending>(pool_, request.address,
+                                        pool_.take(request.address, request.address, connection_pool::usual_idle),
+                                        time_.now() + limit, max_body_, std::move(done));
+    pending_.push_back(it);
+    it->start(serialize(request));
+}
+
+void simple_caller::check_time(instant now) {
+    for (std::size_t i = 0; i < pending_.size(); ++i) {
+        const auto it = pending_[i];
+        it->check_time(now);
+    }
+    std::erase_if(pending_, [](const auto& it) { return it->finished(); });
+    pool_.expire();
+}
+
+std::string serialize(const call_request& it) {
+    std::string text = absl::StrCat(it.method, " ", it.target, " HTTP/1.1\r\n");
+    if (find_header(it.headers, "Host") == nullptr) {
+        absl::StrAppend(&text, "Host: ", it.address, "\r\n");
+    }
+    for (const auto& [name, value] : it.headers) {
+        absl::StrAppend(&text, name, ": ", value, "\r\n");
+    }
+    if (!it.body.empty() || it.method == "POST") {
+        absl::StrAppend(&text, "Content-Length: ", it.body.size(), "\r\n");
+    }
+    return absl::StrCat(text, "\r\n", it.body);
+}
+
+} // namespace berylcrank
--- /dev/null
+++ b/modules/berylcrank_gateway/flow/attempt.cpp
@@ -0,0 +1,130 @@
+#include "modules/berylcrank_gateway/flow/attempt.h"
+
+namespace berylcrank {
+
+namespace {
+
+constexpr double shed_weight = 0.3; // of a shed in the failure share: often the load, not the upstream, is the cause
+
+} // namespace
+
+attempt::attempt(node_state& node, attempt_owner& owner, upstream_ptr target, std::string request_id)
+    : node_(node), owner_(&owner), target_(std::move(target)), request_id_(std::move(request_id)),
+      started_(node.time.now()), last_news_(started_) {}
+
+void attempt::start(std::string request, bool no_body) {
+    keep_ = shared_from_this();
+    counted_ = true;
+    node_.loads.sent(target_->number);
+    if (target_->cold_until > started_) {
+        node_.warmups.sent(target_->number, started_);
+    }
+    connection_ = node_.connections.take(connection_key(*target_), target_->entry.address, connection_pool::usual_idle);
+    connection_->call(std::move(request), *this, no_body);
+}
+
+void attempt::check_connect(instant now) {
+    if (!ended_ && connection_ && !connection_->connected() && now - started_ > node_.options.connect_limit) {
+        connection_->cancel();
+        on_failed(call_failure::not_connected);
+    }
+}
+
+bool attempt::on_head(const response_head& it) {
+    const auto& names = node_.wire.headers();
+    const auto now = node_.time.now();
+    last_news_ = now;
+    if (const auto* load = find_header(it.headers, names.load)) {
+        if (auto report = node_.wire.read_load(*load)) {
+            report->at = now;
+            node_.loads.report(target_->number, *report, true);
+        }
+    }
+    const auto* id = find_header(it.headers, names.request_id);
+    if (id != nullptr && *id != request_id_) {
+        node_.metrics.event("late-response-discarded");
+        node_.log.line("response-discarded")
+            .field("request", request_id_)
+            .field("upstream", target_->entry.id)
+            .field("bears", *id)
+            .send();
+        return false;
+    }
+    head = it;
+    has_head = true;
+    not_run = it.status == 421 || find_header(it.headers, names.not_run) != nullptr;
+    return true;
+}
+
+void attempt::on_body(std::string_view bytes) {
+    last_news_ = node_.time.now();
+    if (not_run) {
+        return;
+    }
+    body.append(bytes);
+    if (owner_ != nullptr) {
+        owner_->on_progress(*this);
+    }
+}
+
+void attempt::on_done(bool reusable) {
+    complete = true;
+    if (reusable) {
+        node_.connections.give(connection_key(*target_), connection_);
+    }
+    if (not_run) {
+        count_outcome(false, shed_weight);
+        if (head.status == 421) {
+            node_.loads.unreachable(target_->number, node_.time.now());
+        }
+        end(attempt_result::not_run);
+        return;
+    }
+    count_outcome(head.status < 500, 1);
+    node_.loads.reachable(target_->number);
+    end(attempt_result::response);
+}
+
+void attempt::on_failed(call_failure why) {
+    failure_ = why;
+    const auto now = node_.time.now();
+    if (why == call_failure::not_connected) {
+        node_.loads.unreachable(target_->number, now);
+        node_.connections.forget(connection_key(*target_));
+        end(attempt_result::not_run);
+        return;
+    }
+    count_outcome(false, 1);
+    end(attempt_result::unknown);
+}
+
+void attempt::count_outcome(bool good, double weight) {
+    const outcome_count it{.good = good ? weight : 0, .bad = good ? 0 : weight};
+    node_.loads.outcome(target_->number, it, node_.time.now(), true);
+}
+
+void attempt::cancel() {
+    owner_ = nullptr;
+    if (ended_) {
+        return;
+    }
+    connection_->cancel();
+    end(attempt_result::unknown);
+}
+
+void attempt::end(attempt_result result) {
+    if (ended_) {
+        return;
+    }
+    ended_ = true;
+    result_ = result;
+    if (counted_) {
+        node_.loads.ended(target_->number);
+    }
+    const auto self = std::move(keep_);
+    if (owner_ != nullptr) {
+        owner_->on_end(*this);
+    }
+}
+
+} // namespace berylcrank
--- /dev/null
+++ b/modules/berylcrank_gateway/flow/gateway.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "modules/berylcrank_gateway/flow/request_flow.h"
+
+#include <absl/container/flat_hash_map.h>
+
+namespace berylcrank {
+
+/** Answers callers: finds the route of a request and makes its flow; gives room at upstreams to waiting requests.
+
+    @see request_flow, node_state
+*/
+class gateway final : public request_handler {
+public:
+    explicit gateway(node_state& node) : node_(node) {}
+
+    void handle(const exchange_ptr& it) override;
+    [[nodiscard]] bool closing() const override { return stopping_; }
+
+    /** Responses ask callers to close from now on. */
+    void stop() { stopping_ = true; }
+
+    /** Sends waiting requests for which there is room and ends what has run out of time. Called regularly. */
+    void tick(instant now);
+
+    /** Requests that are not answered yet. */
+    [[nodiscard]] std::size_t active() const { return flows_.size(); }
+
+    /** A request has ended at an upstream of the service. */
+    void drained(const std::string& service);
+    /** Rate of the above. */
+    [[nodiscard]] double drained_per_second(const std::string& service) const;
+    /** A flow is done. */
+    void ended(std::uint64_t number);
+
+private:
+    struct drain_rate {
+        double per_second{0};
+        double since_update{0};
+    };
+
+    void start_flow(const exchange_ptr& it);
+    void send_waiting();
+    void update_rates(instant now);
+    static void answer_unavailable(const exchange_ptr& it, const node_state& node);
+
+    node_state& node_;
+    absl::flat_hash_map<std::uint64_t, std::shared_ptr<request_flow>> flows_;
+    std::vector<std::shared_ptr<request_flow>> done_;
+    absl::flat_hash_map<std::string, drain_rate> rates_;
+    instant rates_at_;
+    std::uint64_t next_number_{1};
+    bool stopping_{false};
+};
+
+} // namespace berylcrank
--- /dev/null
+++ b/modules/berylcrank_gateway/flow/node_state.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "modules/berylcrank_balance/berylcrank_balance.h"
+#include "modules/berylcrank_core/random/random_source.h"
+#include "modules/berylcrank_core/time/clock.h"
+#include "modules/berylcrank_gateway/client/connection_pool.h"
+#include "modules/berylcrank_gateway/flow/gateway_metrics.h"
+#include "modules/berylcrank_gateway/flow/gateway_options.h"
+#include "modules/berylcrank_gateway/flow/wire_format.h"
+#include "modules/berylcrank_gateway/log/event_log.h"
+
+namespace berylcrank {
+
+/** What one node believes and what its parts share. Used by one thread.
+
+    @see gateway, prober, gateway_node
+*/
+struct node_state {
+    node_state(boost::asio::io_context& io, const clock& time_source, const wire_format& format, event_log& events,
+               gateway_options node_options, std::uint64_t seed)
+        : time(time_source), wire(format), log(events), options(std::move(node_options)), random(seed),
+          split(random.unit()), peers(options.self), connections(io, time) {}
+
+    const clock& time;
+    const wire_format& wire;
+    event_log& log;
+    gateway_options options;
+    gateway_metrics metrics;
+    seeded_random random;
+
+    route_table routes;
+    weighted_split split;
+    upstream_directory upstreams;
+    load_book loads;
+    wait_queue waiting;
+    warmup_gate warmups;
+    peer_table peers;
+    connection_pool connections; // to upstreams
+    absl::flat_hash_map<std::string, resend_budget> budgets;
+
+    /** The resend budget of a service. */
+    resend_budget& budget(const std::string& service) {
+        return budgets.try_emplace(service, resend_budget(options.resends)).first->second;
+    }
+
+    /** Requests a second that a cold upstream of the service may get from all nodes; 0 for no limit. */
+    [[nodiscard]] double cold_rate(const std::string& service) const {
+        const auto* it = routes.service(service);
+        return it == nullptr || it->warm_up_per_second <= 0
+                   ? 0
+                   : it->warm_up_per_second * options.warmup_factor + options.warmup_slack;
+    }
+
+    /** Whether a cold upstream may get a request from this node now. */
+    [[nodiscard]] bool cold_allowed(const upstream& it, instant now) {
+        const double rate = cold_rate(it.entry.service);
+        return rate <= 0 || (peers.owns(it.number, now) && warmups.allows(it.number, rate, now));
+    }
+};
+
+/** Key of an upstream's idle connections: address and id, since addresses are used again. */
+inline std::string connection_key(const upstream& it) {
+    return it.entry.address + '/' + it.entry.id;
+}
+
+} // namespace berylcrank
--- /dev/null
+++ b/modules/berylcrank_gateway/flow/prober.cpp
@@ -0,0 +1,80 @@
+#include "modules/berylcrank_gateway/flow/prober.h"
+
+#include <absl/strings/numbers.h>
+
+namespace berylcrank {
+
+namespace {
+
+constexpr std::size_t max_health_body = 65536; // bytes
+constexpr double unhealthy_weight = 0.3;       // of a failed health check in the failure share: it may be wrong
+constexpr int down_factor = 4;                 // probes of an unreachable upstream are rarer by this factor
+constexpr int silent_factor = 5;               // likewise of one that tells no load
+
+} // namespace
+
+prober::prober(boost::asio::io_context& io, node_state& node)
+    : node_(node), caller_(io, node.time, max_health_body) {}
+
+void prober::tick(instant now) {
+    caller_.check_time(now);
+    for (const auto& [id, it] : node_.upstreams.all()) {
+        auto& held = states_[it->number];
+        if (held.running || now < held.next || !node_.upstreams.usable(*it)) {
+            continue;
+        }
+        const auto* service = node_.routes.service(it->entry.service);
+        if (service == nullptr || !node_.peers.owns(it->number, now)) {
+            continue;
+        }
+        probe(it, service->health_path, now);
+    }
+}
+
+void prober::probe(const upstream_ptr& it, const std::string& path, instant now) {
+    auto& held = states_[it->number];
+    const auto* load = node_.loads.find(it->number);
+    const bool down = load != nullptr && load->down_until > now;
+    const bool silent = load == nullptr || !load->reported;
+    held.running = true;
+    held.next = now + node_.options.probe_interval * (down ? down_factor : silent ? silent_factor : 1);
+    call_request request{.address = it->entry.address,
+                         .target = path,
+                         .headers = {{node_.wire.headers().expected_upstream, it->entry.id}}};
+    caller_.call(request, node_.options.probe_limit,
+                 [this, it, now](const call_result& result) { took(it, result, now); });
+}
+
+void prober::took(const upstream_ptr& it, const call_result& result, instant sent) {
+    states_[it->number].running = false;
+    const auto now = node_.time.now();
+    const auto& names = node_.wire.headers();
+    if (!result.answered || result.head.status == 421) {
+        node_.metrics.probe(result.answered ? "other-upstream" : result.timed_out ? "timed-out" : "failed");
+        node_.loads.unreachable(it->number, now);
+        return;
+    }
+    node_.metrics.probe(result.head.status == 200 ? "healthy" : "unhealthy");
+    if (const auto* value = find_header(result.head.headers, names.load)) {
+        if (auto report = node_.wire.read_load(*value)) {
+            report->at = now;
+            node_.loads.report(it->number, *report, true);
+        }
+    }
+    if (result.head.status != 200) {
+        node_.loads.outcome(it->number, {.bad = unhealthy_weight}, now, false);
+        return;
+    }
+    node_.loads.reachable(it->number);
+    const auto* cold = find_header(result.head.headers, names.cold_left);
+    double ms = 0;
+    if (cold != nullptr && !absl::SimpleAtod(*cold, &ms)) {
+        ms = 0;
+        node_.metrics.event("unreadable-warm-up");
+    }
+    if (sent >= it->cold_known) {
+        upstream_directory::set_cold(*it, millis::from_value(ms), now);
+    }
+}
+
+} // namespace berylcrank
--- /dev/null
+++ b/modules/berylcrank_gateway/flow/request_flow.cpp
@@ -0,0 +1,356 @@
+#include "modules/berylcrank_gateway/flow/request_flow.h"
+
+#include "modules/berylcrank_gateway/client/simple_call.h"
+#include "modules/berylcrank_gateway/flow/gateway.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+#include <algorithm>
+
+namespace berylcrank {
+
+namespace {
+
+constexpr int max_unreached = 4;          // upstreams that could not be reached before a request is given up
+constexpr millis least_left_to_send{30};  // a request with less time left is not sent again
+
+millis time_limit(const exchange& caller, const route_entry& route, const node_state& node) {
+    auto limit = route.time_limit > millis{} ? route.time_limit : node.options.usual_time_limit;
+    const auto* text = find_header(caller.head.headers, node.wire.headers().time_left);
+    double ms = 0;
+    if (text != nullptr && absl::SimpleAtod(*text, &ms) && ms > 0) {
+        limit = std::min(limit, millis::from_value(ms));
+    }
+    return limit;
+}
+
+} // namespace
+
+request_flow::request_flow(gateway& owner, node_state& node, exchange_ptr caller,
+                           std::shared_ptr<const route_entry> route, std::string service, std::uint64_t number)
+    : gateway_(owner), node_(node), caller_(std::move(caller)), route_(std::move(route)),
+      service_(std::move(service)), number_(number) {
+    if (const auto* id = find_header(caller_->head.headers, node_.wire.headers().request_id)) {
+        id_ = *id;
+    }
+    deadline_ = caller_->received + time_limit(*caller_, *route_, node_);
+}
+
+void request_flow::start() {
+    caller_->on_gone = [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->caller_left();
+        }
+    };
+    const auto now = node_.time.now();
+    node_.budget(service_).note_request(now);
+    const auto ahead = node_.waiting.ahead_of(service_, route_->priority);
+    const auto picked = ahead == 0 ? pick() : upstream_pick{.any_usable = true};
+    if (picked.it) {
+        send(picked);
+        return;
+    }
+    const auto decision = decide_admission(admission(now, ahead), node_.options.admission);
+    if (!decision.waits) {
+        refuse(picked.any_usable ? "no-room" : "no-upstream");
+        return;
+    }
+    waiting_ = true;
+    node_.waiting.push({.number = number_,
+                        .service = service_,
+                        .priority = route_->priority,
+                        .give_up = now + decision.give_up_after});
+}
+
+upstream_pick request_flow::pick() {
+    const auto now = node_.time.now();
+    return choose_upstream(node_.upstreams, node_.loads, service_, tried_,
+                           [this, now](const upstream& it) { return node_.cold_allowed(it, now); },
+                           node_.options.choice, node_.random, now);
+}
+
+admission_inputs request_flow::admission(instant now, std::size_t ahead) const {
+    return {.since_received = now - caller_->received,
+            .latency_target = route_->latency_target,
+            .left = deadline_ - now,
+            .ahead = ahead,
+            .drained_per_second = gateway_.drained_per_second(service_),
+            .random = node_.random.unit()};
+}
+
+void request_flow::send(const upstream_pick& picked) {
+    const auto now = node_.time.now();
+    waiting_ = false;
+    ++sends_;
+    tried_.push_back(picked.it->number);
+    node_.log.line("sent")
+        .field("request", id_)
+        .field("route", route_->name)
+        .field("version", node_.routes.version())
+        .field("upstream", picked.it->entry.id)
+        .field("try", sends_)
+        .field("cost", picked.cost)
+        .field("next_cost", picked.runner_up)
+        .field("in_flight", picked.in_flight)
+        .field("report_age_ms", picked.report_age.count())
+        .field("waited_ms", (now - caller_->received).count())
+        .send();
+    auto it = std::make_shared<attempt>(node_, *this, picked.it, id_);
+    attempts_.push_back(it);
+    it->start(serialized(*picked.it, now), caller_->head.method == "HEAD");
+}
+
+std::string request_flow::serialized(const upstream& target, instant now) const {
+    const auto& names = node_.wire.headers();
+    call_request it{.method = caller_->head.method, .target = caller_->head.target, .body = caller_->body};
+    for (const auto& [name, value] : caller_->head.headers) {
+        if (!is_connection_header(name) && !same_header(name, names.time_left) &&
+            !same_header(name, names.expected_upstream)) {
+            it.headers.emplace_back(name, value);
+        }
+    }
+    it.headers.emplace_back(names.time_left, absl::StrCat(std::max<std::int64_t>(1, (deadline_ - now).count())));
+    it.headers.emplace_back(names.expected_upstream, target.entry.id);
+    return serialize(it);
+}
+
+void request_flow::on_progress(attempt& it) {
+    if (done_ || abandoned_ || !it.has_head) {
+        it.body.clear();
+        return;
+    }
+    if (passing_on_ == nullptr && it.body.size() < node_.options.hold_bytes) {
+        return;
+    }
+    if (passing_on_ == nullptr) {
+        passing_on_ = &it;
+        begin_response(it.head, it.head.length);
+    }
+    caller_->append(it.body);
+    it.body.clear();
+    if (caller_->backlog() > node_.options.backlog_bytes) {
+        const auto connection = it.connection();
+        connection->pause_reading(true);
+        caller_->on_drained = [connection] { connection->pause_reading(false); };
+    }
+}
+
+void request_flow::begin_response(const response_head& head, std::optional<std::uint64_t> length) {
+    header_list headers;
+    for (const auto& field : head.headers) {
+        if (!is_connection_header(field.first) && !same_header(field.first, node_.wire.headers().load)) {
+            headers.push_back(field);
+        }
+    }
+    caller_->begin(head.status, head.reason, headers, length);
+}
+
+void request_flow::on_end(attempt& it) {
+    const auto self = shared_from_this();
+    node_.log.line("attempt-ended")
+        .field("request", id_)
+        .field("upstream", it.target().entry.id)
+        .field("result", it.result() == attempt_result::response ? "response"
+                         : it.result() == attempt_result::not_run ? "not-run"
+                                                                  : "may-have-run")
+        .field("status", it.has_head ? it.head.status : 0)
+        .field("failure", it.complete ? "" : to_string(it.failure()))
+        .field("took_ms", (node_.time.now() - it.started()).value())
+        .send();
+    node_.metrics.attempt(service_, it.result() == attempt_result::response ? "response"
+                                    : it.result() == attempt_result::not_run ? "not-run"
+                                                                             : "unknown");
+    gateway_.drained(service_);
+    if (done_ || abandoned_) {
+        finish("abandoned", 0);
+        return;
+    }
+    if (it.result() == attempt_result::response) {
+        deliver(it);
+    } else if (it.result() == attempt_result::not_run) {
+        if (!it.reached() && !it.complete) {
+            --sends_; // nothing was sent
+            ++unreached_;
+        }
+        send_again_or([this] { may_have_run_ ? fail(502, "upstream-failed") : refuse("upstream-full"); }, "not-run");
+    } else if (passing_on_ == &it) {
+        finish("broken-off", it.head.status);
+        caller_->abort();
+    } else {
+        may_have_run_ = true;
+        if (is_idempotent(route_->rule)) {
+            send_again_or([this] { fail(502, "upstream-failed"); }, "failed");
+        } else {
+            fail(502, "may-have-run");
+        }
+    }
+}
+
+void request_flow::deliver(attempt& it) {
+    if (passing_on_ == &it) {
+        caller_->append(it.body);
+        caller_->finish();
+        finish("response", it.head.status);
+        return;
+    }
+    if (it.head.status >= 500 && is_idempotent(route_->rule)) {
+        may_have_run_ = true;
+        auto held = std::static_pointer_cast<attempt>(it.shared_from_this());
+        send_again_or(
+            [this, held] {
+                begin_response(held->head, held->body.size());
+                caller_->append(held->body);
+                caller_->finish();
+                finish("upstream-error", held->head.status);
+            },
+            "upstream-error");
+        return;
+    }
+    begin_response(it.head, it.body.size());
+    caller_->append(it.body);
+    caller_->finish();
+    finish("response", it.head.status);
+}
+
+bool request_flow::may_send_again(instant now) {
+    if (caller_->gone() || deadline_ - now < least_left_to_send || unreached_ > max_unreached) {
+        return false;
+    }
+    return sends_ == 0 || sends_ < route_->max_attempts;
+}
+
+void request_flow::send_again_or(const std::function<void()>& otherwise, std::string_view reason) {
+    const auto now = node_.time.now();
+    if (!may_send_again(now)) {
+        otherwise();
+        return;
+    }
+    const auto picked = pick();
+    if (!picked.it || (sends_ > 0 && !node_.budget(service_).take(node_.peers.most_seen(), now))) {
+        node_.metrics.event(picked.it ? "resend-denied" : "resend-no-room");
+        otherwise();
+        return;
+    }
+    node_.metrics.event(absl::StrCat("resend-", std::string(reason)));
+    send(picked);
+}
+
+void request_flow::refuse(std::string_view reason) {
+    const auto now = node_.time.now();
+    const auto after =
+        retry_after(admission(now, node_.waiting.ahead_of(service_, route_->priority)), node_.options.admission);
+    node_.log.line("refused")
+        .field("request", id_)
+        .field("route", route_->name)
+        .field("reason", reason)
+        .field("retry_after_ms", after.count())
+        .field("waiting", static_cast<std::uint64_t>(node_.waiting.size()))
+        .field("held_ms", (now - caller_->received).count())
+        .send();
+    caller_->respond(503, reason_phrase(503),
+                     {{node_.wire.headers().retry_after, absl::StrFormat("%.3f", after.value() / 1000)}}, "");
+    finish("refused", 503);
+}
+
+void request_flow::fail(int status, std::string_view reason) {
+    node_.log.line("failed")
+        .field("request", id_)
+        .field("route", route_->name)
+        .field("status", status)
+        .field("reason", reason)
+        .field("tries", sends_)
+        .field("held_ms", (node_.time.now() - caller_->received).count())
+        .send();
+    caller_->respond(status, reason_phrase(status), {}, "");
+    finish(reason, status);
+}
+
+void request_flow::check_time(instant now) {
+    if (done_) {
+        return;
+    }
+    const auto self = shared_from_this();
+    const auto attempts = attempts_;
+    for (const auto& it : attempts) {
+        it->check_connect(now);
+    }
+    if (done_ || abandoned_) {
+        return;
+    }
+    if (passing_on_ != nullptr) {
+        if (now - passing_on_->last_news() > node_.options.stall_limit && caller_->backlog() == 0) {
+            finish("stalled", passing_on_->head.status);
+            caller_->abort();
+        }
+        return;
+    }
+    if (now < deadline_) {
+        return;
+    }
+    for (const auto& it : attempts_) {
+        if (!it->ended() && it->has_head && !it->not_run) {
+            passing_on_ = it.get(); // a response that has begun is passed on, also late
+            begin_response(it->head, it->head.length);
+            on_progress(*it);
+            return;
+        }
+    }
+    if (sends_ == 0) {
+        refuse("out-of-time");
+    } else {
+        for (const auto& it : attempts_) {
+            if (!it->ended()) {
+                node_.loads.outcome(it->target().number, {.bad = 1}, now, true);
+            }
+        }
+        fail(504, "out-of-time");
+    }
+}
+
+void request_flow::caller_left() {
+    if (done_) {
+        return;
+    }
+    const auto self = shared_from_this();
+    node_.log.line("caller-left").field("request", id_).field("tries", sends_).send();
+    const bool running = std::any_of(attempts_.begin(), attempts_.end(), [](const auto& it) { return !it->ended(); });
+    if (running && !is_idempotent(route_->rule)) {
+        abandoned_ = true; // let the work end; the response is dropped
+        return;
+    }
+    finish("caller-left", 0);
+}
+
+void request_flow::drop_attempts() {
+    const auto attempts = std::move(attempts_);
+    attempts_.clear();
+    for (const auto& it : attempts) {
+        it->cancel();
+    }
+}
+
+void request_flow::finish(std::string_view result, int status) {
+    if (done_) {
+        return;
+    }
+    const auto self = shared_from_this();
+    done_ = true;
+    const auto took = node_.time.now() - caller_->received;
+    node_.log.line("answered")
+        .field("request", id_)
+        .field("route", route_->name)
+        .field("result", result)
+        .field("status", status)
+        .field("tries", sends_)
+        .field("took_ms", took.value())
+        .send();
+    node_.metrics.response(service_, std::string(result), took.value() / 1000);
+    if (waiting_) {
+        node_.waiting.erase(number_);
+    }
+    drop_attempts();
+    gateway_.ended(number_);
+}
+
+} // namespace berylcrank
--- /dev/null
+++ b/modules/berylcrank_gateway/http/message_parser.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "modules/berylcrank_gateway/http/message_head.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/core/error.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <cstring>
+
+namespace berylcrank {
+
+/** Incremental parser of one HTTP/1.1 message on top of Boost.Beast: keeps the head and hands over the body in
+    the order of arrival.
+
+    @see request_head, response_head
+*/
+template <bool is_request>
+class message_parser final : public boost::beast::http::basic_parser<is_request> {
+public:
+    using head_type = std::conditional_t<is_request, request_head, response_head>;
+
+    message_parser() {
+        this->eager(true);
+        this->body_limit(boost::none);
+    }
+
+    head_type head;
+    std::string body; ///< What arrived since the owner last emptied it.
+
+    /** Parses as much of `bytes` as belongs to this message. Returns the number of bytes used; `ec` is set if they
+        are not a proper message. Stops after the head, so that the owner can look at it first. */
+    std::size_t feed(std::string_view bytes, boost::beast::error_code& ec) {
+        const auto used = this->put(boost::asio::const_buffer(bytes.data(), bytes.size()), ec);
+        if (ec == boost::beast::http::error::need_more) {
+            ec = {};
+        }
+        return used;
+    }
+
+private:
+    using string_view = boost::beast::string_view;
+    using error_code = boost::beast::error_code;
+
+    void on_request_impl(boost::beast::http::verb /*method*/, string_view method, string_view target, int version,
+                         error_code& ec) override {
+        ec = {};
+        if constexpr (is_request) {
+            head.method.assign(method.data(), method.size());
+            head.target.assign(target.data(), target.size());
+            head.version = version;
+        }
+    }
+
+    void on_response_impl(int status, string_view reason, int /*version*/, error_code& ec) override {
+        ec = {};
+        if constexpr (!is_request) {
+            head.status = status;
+            head.reason.assign(reason.data(), reason.size());
+        }
+    }
+
+    void on_field_impl(boost::beast::http::field /*field*/, string_view name, string_view value,
+                       error_code& ec) override {
+        ec = {};
+        head.headers.emplace_back(std::string(name.data(), name.size()), std::string(value.data(), value.size()));
+    }
+
+    void on_header_impl(error_code& ec) override {
+        ec = {};
+        head.keep_alive = this->keep_alive();
+        if constexpr (!is_request) {
+            if (const auto n = this->content_length()) {
+                head.length = *n;
+            }
+        }
+    }
+
+    void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/, error_code& ec) override { ec = {}; }
+
+    std::size_t on_body_impl(string_view bytes, error_code& ec) override {
+        ec = {};
+        body.append(bytes.data(), bytes.size());
+        return bytes.size();
+    }
+
+    void on_chunk_header_impl(std::uint64_t /*size*/, string_view /*extensions*/, error_code& ec) override {
+        ec = {};
+    }
+
+    std::size_t on_chunk_body_impl(std::uint64_t /*left*/, string_view bytes, error_code& ec) override {
+        ec = {};
+        body.append(bytes.data(), bytes.size());
+        return bytes.size();
+    }
+
+    void on_finish_impl(error_code& ec) override { ec = {}; }
+};
+
+using request_parser = message_parser<true>;
+using response_parser = message_parser<false>;
+
+} // namespace berylcrank
--- /dev/null
+++ b/modules/berylcrank_gateway/peers/node_message.cpp
@@ -0,0 +1,203 @@
+#include "modules/berylcrank_gateway/peers/node_message.h"
+
+#include <algorithm>
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <fleet.capnp.h>
+#include <kj/io.h>
+
+namespace berylcrank {
+
+namespace {
+
+constexpr std::uint64_t traversal_words = 8U << 20U; // bounds what a hostile message may make us read
+
+template <typename Number>
+Number clamped(double value) {
+    return static_cast<Number>(std::clamp(value, 0.0, static_cast<double>(std::numeric_limits<Number>::max())));
+}
+
+std::string packed(capnp::MessageBuilder& it) {
+    kj::VectorOutputStream out;
+    capnp::writePackedMessage(out, it);
+    const auto bytes = out.getArray().asChars();
+    return {bytes.begin(), bytes.size()};
+}
+
+template <typename Reader, typename Read>
+bool unpack(std::string_view bytes, Read read) {
+    try {
+        kj::ArrayInputStream in(kj::arrayPtr(reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
+        capnp::PackedMessageReader message(in, {.traversalLimitInWords = traversal_words});
+        read(message.getRoot<Reader>());
+        return true;
+    } catch (const kj::Exception&) {
+        return false; // the caller counts and logs what it cannot read
+    }
+}
+
+void write(schema::NodeInfo::Builder to, const node_info& it) {
+    to.setName(it.name);
+    to.setIp(it.ip);
+    to.setGossipPort(it.gossip_port);
+    to.setFrontAddress(it.front_address);
+    to.setFailureDomain(it.failure_domain);
+    to.setIncarnation(it.incarnation);
+}
+
+node_info read_info(schema::NodeInfo::Reader it) {
+    return {.name = it.getName().cStr(),
+            .ip = it.getIp().cStr(),
+            .gossip_port = it.getGossipPort(),
+            .front_address = it.getFrontAddress().cStr(),
+            .failure_domain = it.getFailureDomain().cStr(),
+            .incarnation = it.getIncarnation()};
+}
+
+void write(schema::StateMark::Builder to, const state_mark& it) {
+    to.setComplete(it.complete);
+    to.setEnd(it.end);
+    to.setAgeMs(clamped<std::uint32_t>(it.age.value()));
+    to.setChanged(it.changed);
+}
+
+state_mark read_mark(schema::StateMark::Reader it) {
+    return {.complete = it.getComplete(), .end = it.getEnd(), .age = millis{it.getAgeMs()}, .changed = it.getChanged()};
+}
+
+void write(schema::LoadNews::Builder to, const load_news& it, instant now) {
+    to.setUpstream(it.upstream);
+    to.setGood(clamped<std::uint8_t>(it.outcomes.good));
+    to.setBad(clamped<std::uint8_t>(it.outcomes.bad));
+    to.setUnreachable(it.unreachable);
+    if (it.cold_left) {
+        to.setHasCold(true);
+        to.setColdLeftMs(clamped<std::uint16_t>(it.cold_left->value()));
+    }
+    if (it.report) {
+        to.setHasReport(true);
+        to.setRunning(clamped<std::uint8_t>(it.report->running));
+        to.setWaiting(clamped<std::uint8_t>(it.report->waiting));
+        to.setSlots(clamped<std::uint8_t>(it.report->slots));
+        to.setSlowness(clamped<std::uint16_t>(it.report->slowness * 100));
+        to.setAgeMs(clamped<std::uint16_t>((now - it.report->at).value()));
+    }
+}
+
+load_news read_news(schema::LoadNews::Reader it, instant now) {
+    load_news result{.upstream = it.getUpstream(),
+                     .outcomes = {.good = static_cast<double>(it.getGood()), .bad = static_cast<double>(it.getBad())},
+                     .unreachable = it.getUnreachable()};
+    if (it.getHasCold()) {
+        result.cold_left = millis{it.getColdLeftMs()};
+    }
+    if (it.getHasReport()) {
+        result.report = load_report{.running = it.getRunning(),
+                                    .waiting = it.getWaiting(),
+                                    .slots = it.getSlots(),
+                                    .slowness = it.getSlowness() / 100.0,
+                                    .at = now - millis{it.getAgeMs()}};
+    }
+    return result;
+}
+
+node_message read_message(schema::NodeMessage::Reader it, instant now) {
+    node_message result{.node = it.getNode(),
+                        .incarnation = it.getIncarnation(),
+                        .ready = it.getReady(),
+                        .asks_self = it.getAsksSelf()};
+    for (std::size_t i = 0; i < std::min<std::size_t>(record_source_count, it.getMarks().size()); ++i) {
+        result.marks[i] = read_mark(it.getMarks()[static_cast<unsigned>(i)]);
+    }
+    for (const auto news : it.getLoads()) {
+        result.loads.push_back(read_news(news, now));
+    }
+    for (const auto flight : it.getInFlight()) {
+        result.in_flight.push_back({.upstream = flight.getUpstream(), .count = flight.getCount()});
+    }
+    if (it.hasSelf()) {
+        result.self = read_info(it.getSelf());
+    }
+    for (const auto info : it.getKnown()) {
+        result.known.push_back(read_info(info));
+    }
+    return result;
+}
+
+} // namespace
+
+std::string encode(const node_message& it, instant now) {
+    capnp::MallocMessageBuilder message;
+    auto to = message.initRoot<schema::NodeMessage>();
+    to.setNode(it.node);
+    to.setIncarnation(it.incarnation);
+    to.setReady(it.ready);
+    to.setAsksSelf(it.asks_self);
+    auto marks = to.initMarks(record_source_count);
+    for (unsigned i = 0; i < record_source_count; ++i) {
+        write(marks[i], it.marks[i]);
+    }
+    auto loads = to.initLoads(static_cast<unsigned>(it.loads.size()));
+    for (unsigned i = 0; i < it.loads.size(); ++i) {
+        write(loads[i], it.loads[i], now);
+    }
+    auto flights = to.initInFlight(static_cast<unsigned>(it.in_flight.size()));
+    for (unsigned i = 0; i < it.in_flight.size(); ++i) {
+        flights[i].setUpstream(it.in_flight[i].upstream);
+        flights[i].setCount(clamped<std::uint16_t>(it.in_flight[i].count));
+    }
+    if (it.self) {
+        write(to.initSelf(), *it.self);
+    }
+    auto known = to.initKnown(static_cast<unsigned>(it.known.size()));
+    for (unsigned i = 0; i < it.known.size(); ++i) {
+        write(known[i], it.known[i]);
+    }
+    return packed(message);
+}
+
+std::optional<node_message> decode_message(std::string_view bytes, instant now) {
+    std::optional<node_message> result;
+    unpack<schema::NodeMessage>(bytes, [&](schema::NodeMessage::Reader it) { result = read_message(it, now); });
+    return result;
+}
+
+std::string encode(const state_answer& it) {
+    capnp::MallocMessageBuilder message;
+    auto runs = message.initRoot<schema::StateAnswer>().initRuns(record_source_count);
+    for (unsigned i = 0; i < record_source_count; ++i) {
+        write(runs[i].initMark(), it[i].mark);
+        auto records = runs[i].initRecords(static_cast<unsigned>(it[i].records.size()));
+        for (unsigned k = 0; k < it[i].records.size(); ++k) {
+            const auto& record = it[i].records[k];
+            records[k].setKey(record.key);
+            records[k].setOffset(record.offset);
+            records[k].setRemoved(record.removed);
+            records[k].setValue(
+                kj::arrayPtr(reinterpret_cast<const kj::byte*>(record.value.data()), record.value.size()));
+        }
+    }
+    return packed(message);
+}
+
+std::optional<state_answer> decode_state(std::string_view bytes) {
+    std::optional<state_answer> result;
+    unpack<schema::StateAnswer>(bytes, [&](schema::StateAnswer::Reader it) {
+        state_answer answer;
+        for (std::size_t i = 0; i < std::min<std::size_t>(record_source_count, it.getRuns().size()); ++i) {
+            const auto run = it.getRuns()[static_cast<unsigned>(i)];
+            answer[i].mark = read_mark(run.getMark());
+            for (const auto record : run.getRecords()) {
+                const auto value = record.getValue().asChars();
+                answer[i].records.push_back({.key = record.getKey().cStr(),
+                                             .offset = record.getOffset(),
+                                             .value = std::string(value.begin(), value.size()),
+                                             .removed = record.getRemoved()});
+            }
+        }
+        result = std::move(answer);
+    });
+    return result;
+}
+
+} // namespace berylcrank
--- /dev/null
+++ b/modules/berylcrank_gateway/server/exchange.cpp
@@ -0,0 +1,124 @@
+#include "modules/berylcrank_gateway/server/exchange.h"
+
+#include "modules/berylcrank_gateway/server/server_connection.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+
+namespace berylcrank {
+
+std::string_view reason_phrase(int status) {
+    switch (status) {
+    case 200:
+        return "OK";
+    case 400:
+        return "Bad Request";
+    case 404:
+        return "Not Found";
+    case 408:
+        return "Request Timeout";
+    case 413:
+        return "Content Too Large";
+    case 431:
+        return "Request Header Fields Too Large";
+    case 502:
+        return "Bad Gateway";
+    case 503:
+        return "Service Unavailable";
+    case 504:
+        return "Gateway Timeout";
+    default:
+        return "Unknown";
+    }
+}
+
+void exchange::begin(int status, std::string_view reason, const header_list& headers,
+                     std::optional<std::uint64_t> length) {
+    const auto connection = connection_.lock();
+    if (begun_ || !connection) {
+        return;
+    }
+    begun_ = true;
+    close_after_ = !head.keep_alive || connection->closing();
+    bodyless_ = head.method == "HEAD" || status == 204 || status == 304;
+    std::string text = absl::StrCat("HTTP/1.1 ", status, " ", std::string(reason), "\r\n");
+    for (const auto& [name, value] : headers) {
+        absl::StrAppend(&text, name, ": ", value, "\r\n");
+    }
+    if (length) {
+        absl::StrAppend(&text, "Content-Length: ", *length, "\r\n");
+    } else if (head.version >= 11) {
+        chunked_ = !bodyless_;
+        text += "Transfer-Encoding: chunked\r\n";
+    } else {
+        close_after_ = true; // HTTP/1.0: the body ends with the connection
+    }
+    text += close_after_ ? "Connection: close\r\n\r\n" : "\r\n";
+    push(text);
+}
+
+void exchange::append(std::string_view bytes) {
+    if (bytes.empty() || bodyless_) {
+        return;
+    }
+    if (!chunked_) {
+        push(bytes);
+        return;
+    }
+    push(absl::StrCat(absl::Hex(bytes.size()), "\r\n", absl::string_view(bytes.data(), bytes.size()), "\r\n"));
+}
+
+void exchange::finish() {
+    if (finished_) {
+        return;
+    }
+    if (chunked_) {
+        push("0\r\n\r\n");
+    }
+    finished_ = true;
+    push("");
+}
+
+void exchange::respond(int status, std::string_view reason, const header_list& headers, std::string_view content) {
+    begin(status, reason, headers, content.size());
+    append(content);
+    finish();
+}
+
+void exchange::abort() {
+    if (const auto connection = connection_.lock()) {
+        connection->break_off();
+    }
+}
+
+std::size_t exchange::backlog() const {
+    const auto connection = connection_.lock();
+    return out_.size() + (connection ? connection->pending() : 0);
+}
+
+bool exchange::is_behind() const {
+    const auto connection = connection_.lock();
+    return connection && !connection->is_first(*this);
+}
+
+void exchange::push(std::string_view bytes) {
+    if (gone_) {
+        return;
+    }
+    out_.append(bytes);
+    if (const auto connection = connection_.lock()) {
+        connection->flush();
+    }
+}
+
+void exchange::caller_left() {
+    if (gone_) {
+        return;
+    }
+    gone_ = true;
+    if (const auto handler = std::move(on_gone)) {
+        handler();
+    }
+}
+
+} // namespace berylcrank
--- /dev/null
+++ b/modules/berylcrank_gateway/server/http_listener.cpp
@@ -0,0 +1,86 @@
+#include "modules/berylcrank_gateway/server/http_listener.h"
+
+#include <absl/strings/numbers.h>
+#include <boost/asio/ip/address.hpp>
+#include <stdexcept>
+
+namespace berylcrank {
+
+namespace {
+
+constexpr int accept_backlog = 512; // connections that may wait; bursts arrive together
+
+} // namespace
+
+boost::asio::ip::tcp::endpoint parse_endpoint(const std::string& address) {
+    const auto colon = address.rfind(':');
+    int port = 0;
+    if (colon == std::string::npos || !absl::SimpleAtoi(address.substr(colon + 1), &port) || port < 0 ||
+        port > 65535) {
+        throw std::invalid_argument("not an address: " + address);
+    }
+    boost::system::error_code ec;
+    const auto ip = boost::asio::ip::make_address(address.substr(0, colon), ec);
+    if (ec) {
+        throw std::invalid_argument("not an address: " + address);
+    }
+    return {ip, static_cast<std::uint16_t>(port)};
+}
+
+http_listener::http_listener(boost::asio::io_context& io, const std::string& address, connection_context context)
+    : context_(std::move(context)), acceptor_(io) {
+    const auto endpoint = parse_endpoint(address);
+    acceptor_.open(endpoint.protocol());
+    acceptor_.set_option(boost::asio::ip::tcp::acceptor::reuse_address(true));
+    acceptor_.bind(endpoint);
+    acceptor_.listen(accept_backlog);
+    accept_next();
+}
+
+void http_listener::accept_next() {
+    acceptor_.async_accept([this](const auto& ec, boost::asio::ip::tcp::socket socket) {
+        if (ec == boost::asio::error::operation_aborted || !acceptor_.is_open()) {
+            return;
+        }
+        if (!ec) {
+            const auto it = std::make_shared<server_connection>(std::move(socket), context_);
+            connections_.push_back(it);
+            it->start();
+        }
+        accept_next();
+    });
+}
+
+void http_listener::check_time(instant now, bool close_idle) {
+    std::erase_if(connections_, [](const auto& it) { return it.expired(); });
+    for (std::size_t i = 0; i < connections_.size(); ++i) {
+        if (const auto it = connections_[i].lock()) {
+            it->check_time(now, close_idle);
+        }
+    }
+}
+
+void http_listener::stop_accepting() {
+    boost::system::error_code ec;
+    acceptor_.close(ec);
+}
+
+std::size_t http_listener::active() const {
+    std::size_t n = 0;
+    for (const auto& weak : connections_) {
+        const auto it = weak.lock();
+        n += it && it->open() ? it->active() : 0;
+    }
+    return n;
+}
+
+std::size_t http_listener::connections() const {
+    std::size_t n = 0;
+    for (const auto& weak : connections_) {
+        const auto it = weak.lock();
+        n += it && it->open() ? 1 : 0;
+    }
+    return n;
+}
+
+} // namespace berylcrank
--- /dev/null
+++ b/modules/berylcrank_gateway/server/server_connection.cpp
@@ -0,0 +1,223 @@
+#include "modules/berylcrank_gateway/server/server_connection.h"
+
+#include <array>
+#include <boost/asio/buffer.hpp>
+
+namespace berylcrank {
+
+namespace {
+
+// One thread reads all connections, one at a time.
+std::array<char, 65536> scratch; // NOLINT(cppcoreguidelines-avoid-non-const-global-variables)
+
+constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
+
+} // namespace
+
+server_connection::server_connection(boost::asio::ip::tcp::socket socket, connection_context& context)
+    : socket_(std::move(socket)), context_(context), writer_(socket_), last_activity_(context.time.now()) {
+    boost::system::error_code ec;
+    socket_.non_blocking(true, ec);
+    socket_.set_option(boost::asio::ip::tcp::no_delay(true), ec);
+}
+
+void server_connection::start() {
+    wait_for_bytes();
+}
+
+void server_connection::wait_for_bytes() {
+    if (!open_ || waiting_) {
+        return;
+    }
+    waiting_ = true;
+    socket_.async_wait(boost::asio::ip::tcp::socket::wait_read, [self = shared_from_this()](const auto& ec) {
+        self->waiting_ = false;
+        if (!ec && self->open_) {
+            self->read_bytes();
+        }
+    });
+}
+
+void server_connection::read_bytes() {
+    boost::system::error_code ec;
+    const auto n = socket_.read_some(boost::asio::buffer(scratch), ec);
+    if (ec == boost::asio::error::would_block || ec == boost::asio::error::try_again) {
+        wait_for_bytes();
+        return;
+    }
+    if (ec) {
+        end_of_input();
+        return;
+    }
+    last_activity_ = context_.time.now();
+    if (!no_more_requests_) {
+        consume({scratch.data(), n});
+    }
+    if (unread_.empty()) {
+        wait_for_bytes();
+    }
+}
+
+void server_connection::consume(std::string_view bytes) {
+    while (!bytes.empty() && open_ && !no_more_requests_) {
+        if (pipeline_.size() >= max_pipeline) {
+            unread_.assign(bytes);
+            return;
+        }
+        if (!feed(bytes)) {
+            return;
+        }
+    }
+}
+
+bool server_connection::feed(std::string_view& bytes) {
+    const auto& limits = context_.limits();
+    if (!parser_) {
+        parser_ = std::make_unique<request_parser>();
+        parser_->header_limit(limits.header_bytes);
+    }
+    reading_message_ = true;
+    const bool had_head = parser_->is_header_done();
+    boost::beast::error_code ec;
+    const auto used = parser_->feed(bytes, ec);
+    bytes.remove_prefix(used);
+    if (ec) {
+        refuse(ec == boost::beast::http::error::header_limit ? 431 : 400);
+        return false;
+    }
+    const auto length = parser_->is_header_done() ? parser_->content_length() : boost::none;
+    if (parser_->body.size() > limits.body_bytes || (length && *length > limits.body_bytes)) {
+        refuse(413);
+        return false;
+    }
+    if (!had_head && parser_->is_header_done() && !parser_->is_done() && pipeline_.empty() &&
+        find_header(parser_->head.headers, "Expect") != nullptr) {
+        writer_.write(std::string(continue_response), shared_from_this(), [](bool) {});
+    }
+    if (parser_->is_done()) {
+        request_complete();
+        return true;
+    }
+    return used > 0;
+}
+
+void server_connection::request_complete() {
+    auto parser = std::move(parser_);
+    reading_message_ = false;
+    no_more_requests_ = !parser->head.keep_alive;
+    const auto it = std::make_shared<exchange>(shared_from_this(), std::move(parser->head), std::move(parser->body),
+                                               context_.time.now());
+    pipeline_.push_back(it);
+    context_.handler.handle(it);
+}
+
+void server_connection::refuse(int status) {
+    parser_.reset();
+    reading_message_ = false;
+    no_more_requests_ = true;
+    const auto it =
+        std::make_shared<exchange>(shared_from_this(), request_head{.keep_alive = false}, "", context_.time.now());
+    pipeline_.push_back(it);
+    it->respond(status, reason_phrase(status), {}, "");
+}
+
+void server_connection::flush() {
+    if (flushing_ || !open_ || last_response_queued_) {
+        return;
+    }
+    const auto self = shared_from_this();
+    flushing_ = true;
+    std::string out;
+    bool close = false;
+    while (!pipeline_.empty() && !close) {
+        const auto it = pipeline_.front();
+        out += it->out_;
+        it->out_.clear();
+        if (!it->finished_) {
+            break;
+        }
+        close = it->close_after_;
+        pipeline_.pop_front();
+    }
+    last_activity_ = context_.time.now();
+    if (close) {
+        no_more_requests_ = true;
+        last_response_queued_ = true;
+    }
+    const auto drained = [self, close](bool ok) {
+        if (!ok) {
+            self->end_of_input();
+        } else if (close) {
+            self->close_gently();
+        } else if (!self->pipeline_.empty() && self->pipeline_.front()->on_drained) {
+            const auto handler = self->pipeline_.front()->on_drained;
+            handler();
+        }
+    };
+    flushing_ = false;
+    if (!out.empty()) {
+        writer_.write(std::move(out), self, drained);
+    }
+    if (!unread_.empty() && pipeline_.size() < max_pipeline && open_) {
+        const auto bytes = std::move(unread_);
+        unread_.clear();
+        consume(bytes);
+        wait_for_bytes();
+    }
+}
+
+void server_connection::close_gently() {
+    if (shut_down_ || !open_) {
+        return;
+    }
+    shut_down_ = true;
+    const auto behind = std::move(pipeline_);
+    pipeline_.clear();
+    for (const auto& it : behind) {
+        it->caller_left(); // sent behind a response that closes: not read, the caller sends them again
+    }
+    boost::system::error_code ec;
+    socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ec);
+    wait_for_bytes();
+}
+
+void server_connection::end_of_input() {
+    if (!open_) {
+        return;
+    }
+    break_off();
+}
+
+void server_connection::break_off() {
+    if (!open_) {
+        return;
+    }
+    open_ = false;
+    const auto self = shared_from_this();
+    boost::system::error_code ec;
+    socket_.close(ec);
+    const auto left = std::move(pipeline_);
+    pipeline_.clear();
+    for (const auto& it : left) {
+        it->caller_left();
+    }
+}
+
+void server_connection::check_time(instant now, bool close_idle) {
+    if (!open_) {
+        return;
+    }
+    const auto quiet = now - last_activity_;
+    const auto& limits = context_.limits();
+    if (shut_down_) {
+        if (quiet > linger) {
+            break_off();
+        }
+    } else if (reading_message_ && quiet > limits.header_timeout && pipeline_.empty()) {
+        refuse(408);
+    } else if (idle() && (quiet > limits.idle_timeout || close_idle)) {
+        close_gently();
+    }
+}
+
+} // namespace berylcrank
--- /dev/null
+++ b/modules/berylcrank_gateway/state/state_follower.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "modules/berylcrank_balance/catalog/record_book.h"
+#include "modules/berylcrank_core/time/clock.h"
+#include "modules/berylcrank_gateway/log/event_log.h"
+#include "modules/berylcrank_gateway/peers/node_message.h"
+#include "modules/berylcrank_gateway/state/metadata_store.h"
+
+#include <array>
+#include <functional>
+
+namespace berylcrank {
+
+/** Times of a follower. */
+struct follower_options {
+    millis operators_wait{900};    ///< How long a read of the operators' records may wait at the store.
+    millis upstreams_interval{450};///< Age of the upstreams' records at which the first node reads them again.
+    millis rank_step{350};         ///< Added per place in the order of the nodes, up to `ranks`.
+    int ranks{4};                  ///< Places after which the delay no longer grows.
+    millis first_retry{250};       ///< Pause after a failed read; doubles.
+    millis longest_retry{1200};
+    millis outage{1500};           ///< Age from which a return of the store counts as the end of an outage.
+};
+
+/** Keeps this node's copy of the store's records current with few calls.
+
+    Every node knows from the others' messages how current their copies are, and pulls what it lacks from them. A node
+    reads the store itself only when no copy has been confirmed for longer than its place in the order of nodes
+    allows; so the first node reads, the second takes over when the first fails, and two that read at once do no
+    harm. No node holds a duty that it could lose without noticing.
+    @see record_book, metadata_store
+*/
+class state_follower {
+public:
+    /** Takes a record; returns whether it changed what the node believes. */
+    using change_handler = std::function<bool(record_source, const state_record&, bool after_outage)>;
+
+    state_follower(metadata_store& store, const clock& time, event_log& log, follower_options options,
+                   change_handler changed);
+
+    /** Starts reads that are due; `rank` is this node's place among the live nodes. */
+    void tick(std::size_t rank, instant now);
+
+    /** Takes what another node said of its copy. Returns true if it has records that this one lacks. */
+    bool hear(const std::array<state_mark, record_source_count>& marks, instant now);
+
+    /** Merges records that another node gave. */
+    void merge(const state_answer& answer, instant now);
+
+    /** What this node can give to one whose copies end at the offsets `from`. */
+    [[nodiscard]] state_answer give(const std::array<std::uint64_t, record_source_count>& from, instant now) const;
+
+    [[nodiscard]] std::array<state_mark, record_source_count> marks(instant now) const;
+    [[nodiscard]] std::uint64_t end(record_source source) const { return of(source).book.end(); }
+    [[nodiscard]] bool complete() const;
+    /** Age of the copy of a source. */
+    [[nodiscard]] millis age(record_source source, instant now) const { return now - of(source).book.confirmed(); }
+    /** Whether the store counts as unreachable for all nodes. */
+    [[nodiscard]] bool store_lost() const { return lost_; }
+
+private:
+    struct follow {
+        record_book book;
+        bool reading{false};
+        bool read_everything{true};
+        instant next_try;
+        instant outage_over; // removals until then may be lapses
+        millis retry;
+    };
+
+    follow& of(record_source source) { return follows_[static_cast<std::size_t>(source)]; }
+    [[nodiscard]] const follow& of(record_source source) const { return follows_[static_cast<std::size_t>(source)]; }
+    [[nodiscard]] bool due(record_source source, std::size_t rank, instant now) const;
+    void read(record_source source, instant now);
+    void took(record_source source, const store_read& it, bool everything, instant vouched);
+    void note_return(follow& it, instant now) const;
+    void note_store(bool lost, record_source source, store_outcome outcome);
+
+    metadata_store& store_;
+    const clock& time_;
+    event_log& log_;
+    follower_options options_;
+    std::array<follow, record_source_count> follows_;
+    instant started_;
+    bool lost_{false};
+};
+
+} // namespace berylcrank
--- /dev/null
+++ b/program/command/gateway_command.cpp
@@ -0,0 +1,95 @@
+#include "program/command/gateway_command.h"
+
+#include "modules/berylcrank_gateway/node/gateway_node.h"
+#include "platform/platform_adapter.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <csignal>
+#include <iostream>
+#include <tclap/CmdLine.h>
+#include <unistd.h>
+
+namespace berylcrank {
+
+namespace {
+
+/** Reads the settings again on SIGHUP and begins a planned stop on SIGTERM or SIGINT. */
+class signal_watch {
+public:
+    signal_watch(boost::asio::io_context& io, gateway_node& node, event_log& log, std::string settings_path)
+        : signals_(io, SIGTERM, SIGINT, SIGHUP), node_(node), log_(log), settings_path_(std::move(settings_path)) {
+        wait();
+    }
+
+private:
+    void wait() {
+        signals_.async_wait([this](const auto& ec, int number) {
+            if (ec) {
+                return;
+            }
+            if (number == SIGHUP) {
+                reload();
+            } else {
+                node_.stop();
+            }
+            wait();
+        });
+    }
+
+    void reload() {
+        boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<void> {
+                BOOST_LEAF_AUTO(it, read_settings_file(settings_path_));
+                log_.line("reloaded").field("seeds", static_cast<std::uint64_t>(it.gateway.seed_ips.size())).send();
+                node_.set_seeds(std::move(it.gateway.seed_ips));
+                return {};
+            },
+            [&](const std::string& reason) { log_.line("reload-failed").field("reason", reason).send(); },
+            [&] { log_.line("reload-failed").send(); });
+    }
+
+    boost::asio::signal_set signals_;
+    gateway_node& node_;
+    event_log& log_;
+    std::string settings_path_;
+};
+
+boost::leaf::result<exit_code> run_gateway(const std::string& settings_path) {
+    BOOST_LEAF_AUTO(settings, read_settings_file(settings_path));
+    signal(SIGPIPE, SIG_IGN);
+    boost::asio::io_context io(1);
+    const boot_clock time;
+    event_log log(STDOUT_FILENO, settings.gateway.self.name, time);
+    const json_wire wire;
+    log_store store(io, time, settings.store_address);
+    gateway_node node(io, time, wire, store, log, settings.gateway);
+    const signal_watch signals(io, node, log, settings_path);
+    io.run();
+    return exit_code::ok;
+}
+
+} // namespace
+
+exit_code gateway_command::run(std::vector<std::string> arguments) {
+    TCLAP::CmdLine line("Runs a node of a platform deployment. SIGTERM is a planned stop; SIGHUP reads the settings "
+                        "again. Structured log lines go to standard output.",
+                        ' ', BERYLCRANK_VERSION);
+    line.setExceptionHandling(false);
+    TCLAP::ValueArg<std::string> settings_path(
+        "s", "settings", "settings file of the platform; without it, the file that the platform names", false,
+        settings_file_path(), "file", line);
+    line.parse(arguments);
+    return boost::leaf::try_handle_all([&] { return run_gateway(settings_path.getValue()); },
+                                       [](const std::string& reason) {
+                                           std::cerr << "berylcrank gateway: " << reason << "\n";
+                                           return exit_code::bad_input;
+                                       },
+                                       [] {
+                                           std::cerr << "berylcrank gateway: unknown error\n";
+                                           return exit_code::failed;
+                                       });
+}
+
+} // namespace berylcrank
--- a/program/main.cpp
+++ b/program/main.cpp
@@ -1,10 +1,12 @@
+#include "program/command/gateway_command.h"
+#ifndef BERYLCRANK_DEPLOY // a deploy build holds what runs on the platform only
 #include "program/command/burn_command.h"
 #include "program/command/check_command.h"
 #include "program/command/node_command.h"
 #include "program/command/publish_command.h"
 #include "program/command/status_command.h"
+#endif
 
-#include <array>
 #include <iostream>
 #include <memory>
 #include <string>
@@ -15,12 +17,19 @@
 
 namespace {
 
-using command_list = std::array<std::unique_ptr<command>, 5>;
+using command_list = std::vector<std::unique_ptr<command>>;
 
 command_list all_commands() {
-    return {std::make_unique<node_command>(), std::make_unique<publish_command>(),
-            std::make_unique<check_command>(), std::make_unique<status_command>(),
-            std::make_unique<burn_command>()};
+    command_list commands;
+    commands.push_back(std::make_unique<gateway_command>());
+#ifndef BERYLCRANK_DEPLOY
+    commands.push_back(std::make_unique<node_command>());
+    commands.push_back(std::make_unique<publish_command>());
+    commands.push_back(std::make_unique<check_command>());
+    commands.push_back(std::make_unique<status_command>());
+    commands.push_back(std::make_unique<burn_command>());
+#endif
+    return commands;
 }
 
 void print_overview(const command_list& commands, std::ostream& out) {
--- /dev/null
+++ b/schema/fleet.capnp
@@ -0,0 +1,78 @@
+@0xc3a5d80b7f1e4d21;
+# Messages between nodes that serve a platform deployment.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("berylcrank::schema");
+
+struct NodeInfo {
+  name @0 :Text;
+  ip @1 :Text;
+  gossipPort @2 :UInt16;
+  frontAddress @3 :Text;
+  failureDomain @4 :Text;
+  incarnation @5 :UInt64;
+}
+
+struct LoadNews {
+  upstream @0 :UInt32;
+  # Hash of the upstream's id.
+  running @1 :UInt8;
+  waiting @2 :UInt8;
+  slots @3 :UInt8;
+  good @4 :UInt8;
+  # Requests that ended well since the sender's last message.
+  bad @5 :UInt8;
+  hasReport @6 :Bool;
+  unreachable @7 :Bool;
+  slowness @8 :UInt16;
+  # Hundredths; 100 is as usual.
+  ageMs @9 :UInt16;
+  # Age of the report at the sender.
+  coldLeftMs @10 :UInt16;
+  hasCold @11 :Bool;
+}
+
+struct InFlight {
+  upstream @0 :UInt32;
+  count @1 :UInt16;
+}
+
+struct StateMark {
+  complete @0 :Bool;
+  end @1 :UInt64;
+  # Offset up to which the sender's book is complete.
+  ageMs @2 :UInt32;
+  # How long ago that was known to be the store's end.
+  changed @3 :UInt64;
+  # Offset behind the last record that changed what nodes believe.
+}
+
+struct NodeMessage {
+  node @0 :UInt64;
+  incarnation @1 :UInt64;
+  ready @2 :Bool;
+  marks @3 :List(StateMark);
+  loads @4 :List(LoadNews);
+  inFlight @5 :List(InFlight);
+  self @6 :NodeInfo;
+  # Now and then, and in answer to a node that is not known.
+  known @7 :List(NodeInfo);
+  asksSelf @8 :Bool;
+  # The receiver's NodeInfo is not known to the sender.
+}
+
+struct Record {
+  key @0 :Text;
+  offset @1 :UInt64;
+  value @2 :Data;
+  removed @3 :Bool;
+}
+
+struct StateRun {
+  mark @0 :StateMark;
+  records @1 :List(Record);
+}
+
+struct StateAnswer {
+  runs @0 :List(StateRun);
+}
