Keep incomplete lines for the HTTP parser

Cause: Beast's parser wants bytes that it did not use presented again; they were dropped, so that chunked responses and heads which arrived in pieces failed as 'bad chunk' (33) or 'bad field' (1), one of them a success without signature. Change: message_parser carries what is incomplete.

--- a/modules/berylcrank_gateway/client/client_connection.cpp
+++ b/modules/berylcrank_gateway/client/client_connection.cpp
@@ -73,6 +73,7 @@
             return;
         }
         if (error) {
+            self->error_ = error.message();
             self->fail(call_failure::not_connected);
             return;
         }
@@ -116,6 +117,7 @@
         return;
     }
     if (ec) {
+        error_ = ec.message();
         end_of_input(ec == boost::asio::error::eof);
         return;
     }
@@ -142,6 +144,7 @@
         const auto used = parser_->feed(bytes, ec);
         bytes.remove_prefix(used);
         if (ec) {
+            error_ = ec.message();
             fail(head_passed_ ? call_failure::broken_off : call_failure::garbled);
             return;
         }
@@ -150,8 +153,6 @@
         }
         if (parser_ && parser_->is_done()) {
             response_complete(!bytes.empty());
-        } else if (used == 0) {
-            return;
         }
     }
 }
--- a/modules/berylcrank_gateway/client/client_connection.h
+++ b/modules/berylcrank_gateway/client/client_connection.h
@@ -65,6 +65,8 @@
     [[nodiscard]] bool idle() const { return connected_ && sink_ == nullptr && !closed_; }
     [[nodiscard]] bool closed() const { return closed_; }
     [[nodiscard]] bool connected() const { return connected_; }
+    /** The error that ended it, for logs; empty if none did. */
+    [[nodiscard]] const std::string& error() const { return error_; }
     /** When it became idle. */
     [[nodiscard]] instant idle_since() const { return idle_since_; }
     /** Time for which the other side keeps an idle connection, as its last response said; 0 if it did not. */
@@ -89,6 +91,7 @@
     std::unique_ptr<response_parser> parser_;
     response_sink* sink_{nullptr};
     std::string request_;
+    std::string error_;
     instant idle_since_;
     millis keep_alive_;
     bool connected_{false};
--- a/modules/berylcrank_gateway/flow/request_flow.cpp
+++ b/modules/berylcrank_gateway/flow/request_flow.cpp
@@ -156,6 +156,7 @@
                                                                   : "may-have-run")
         .field("status", it.has_head ? it.head.status : 0)
         .field("failure", it.complete ? "" : to_string(it.failure()))
+        .field("error", it.connection() ? it.connection()->error() : "")
         .field("took_ms", (node_.time.now() - it.started()).value())
         .send();
     node_.metrics.attempt(service_, it.result() == attempt_result::response ? "response"
--- a/modules/berylcrank_gateway/http/message_parser.h
+++ b/modules/berylcrank_gateway/http/message_parser.h
@@ -27,17 +27,46 @@
     head_type head;
     std::string body; ///< What arrived since the owner last emptied it.
 
-    /** Parses as much of `bytes` as belongs to this message. Returns the number of bytes used; `ec` is set if they
-        are not a proper message. Stops after the head, so that the owner can look at it first. */
+    /** Parses as much of `bytes` as belongs to this message. Returns the number of bytes used, which is all of them
+        unless the message ends before; `ec` is set if they are not a proper message. */
     std::size_t feed(std::string_view bytes, boost::beast::error_code& ec) {
-        const auto used = this->put(boost::asio::const_buffer(bytes.data(), bytes.size()), ec);
-        if (ec == boost::beast::http::error::need_more) {
-            ec = {};
+        if (carry_.empty()) {
+            const auto used = parse(bytes, ec);
+            if (ec || this->is_done()) {
+                return used;
+            }
+            carry_.assign(bytes.substr(used));
+            return bytes.size();
         }
-        return used;
+        const auto carried = carry_.size();
+        carry_.append(bytes);
+        const auto used = parse(carry_, ec);
+        if (ec || this->is_done()) {
+            return used > carried ? used - carried : 0;
+        }
+        carry_.erase(0, used);
+        return bytes.size();
     }
 
 private:
+    std::size_t parse(std::string_view bytes, boost::beast::error_code& ec) {
+        std::size_t used = 0;
+        while (used < bytes.size() && !this->is_done()) {
+            const auto n = this->put(boost::asio::const_buffer(bytes.data() + used, bytes.size() - used), ec);
+            used += n;
+            if (ec == boost::beast::http::error::need_more) {
+                ec = {};
+                break;
+            }
+            if (ec || n == 0) {
+                break;
+            }
+        }
+        return used;
+    }
+
+    std::string carry_; // an incomplete line that the library wants to see again as a whole
+
     using string_view = boost::beast::string_view;
     using error_code = boost::beast::error_code;
 
--- a/modules/berylcrank_gateway/server/server_connection.cpp
+++ b/modules/berylcrank_gateway/server/server_connection.cpp
@@ -98,7 +98,7 @@
         request_complete();
         return true;
     }
-    return used > 0;
+    return false; // all bytes are used
 }
 
 void server_connection::request_complete() {
