Discard what arrives after a connection was shut down

Ruled out: the end of the process (the request came 2.2 s after the stop signal, the node ended later). Change: a connection that is shut down reads no more requests; what crosses was not read, and the caller sends it again.

--- a/modules/berylcrank_gateway/server/server_connection.cpp
+++ b/modules/berylcrank_gateway/server/server_connection.cpp
@@ -171,6 +171,7 @@
         return;
     }
     shut_down_ = true;
+    no_more_requests_ = true; // a request that crosses the close is not passed on
     const auto behind = std::move(pipeline_);
     pipeline_.clear();
     for (const auto& it : behind) {
