--- a/modules/berylcrank_balance/choice/upstream_choice.cpp
+++ b/modules/berylcrank_balance/choice/upstream_choice.cpp
@@ -16,11 +16,15 @@
 
 } // namespace
 
+int usable_slots(int slots, const choice_options& options) {
+    return std::max(1, static_cast<int>(std::floor(slots * options.slot_share + 1e-9)));
+}
+
 double expected_cost(int in_flight, int slots, double slowness, const choice_options& options) {
     const double fill = static_cast<double>(in_flight + 1) / std::max(1, slots);
     double cost = 1 + options.fill_cost * std::min(fill, 1.0);
     if (fill > options.knee_share) {
-        cost += options.knee_cost * std::min(1.0, (fill - options.knee_share) / (1 - options.knee_share));
+        cost += options.knee_cost;
     }
     if (fill > 1) {
         cost *= 1 + (fill - 1) * 1.5;
@@ -33,6 +37,7 @@
                               const choice_options& options, random_source& random, instant now) {
     upstream_pick best;
     double best_key = 0;
+    bool below_knee = false;
     for (const auto& it : directory.of_service(service)) {
         if (!directory.usable(*it) || contains(tried, it->number)) {
             continue;
@@ -41,13 +46,14 @@
         const auto& load = loads.at(it->number);
         const int slots = std::max(1, it->entry.slots);
         const int in_flight = loads.in_flight(load, now);
-        if (load.down_until > now || in_flight >= std::ceil(slots * options.slot_share)) {
+        if (load.down_until > now || in_flight >= slots) {
             continue;
         }
         const bool cold = it->cold_until > now;
         if (cold && !cold_allowed(*it)) {
             continue;
         }
+        below_knee = below_knee || in_flight < usable_slots(slots, options);
         double cost = expected_cost(in_flight, slots, load_book::slowness(load, loads.usual_slowness(), now),
                                     options);
         cost *= cold ? cold_slowness : 1;
@@ -65,6 +71,9 @@
             best.runner_up = cost;
         }
     }
+    if (!below_knee) {
+        best.it = nullptr; // one request more anywhere would end fewer of them a second
+    }
     return best;
 }
 
--- a/modules/berylcrank_balance/choice/upstream_choice.h
+++ b/modules/berylcrank_balance/choice/upstream_choice.h
@@ -18,7 +18,9 @@
     double knee_share{0.8};            ///< Share of the slots from which upstreams slow down.
     double knee_cost{0.7};             ///< Added past the knee.
     double jitter{0.12};               ///< Spread of the costs, so that nodes do not all pick the same upstream.
-    double slot_share{1.0};            ///< Share of the slots that may be filled.
+    /** While no upstream of a service has less than this share of its slots filled, requests wait: an upstream that
+        slows down by 1.7 past the knee ends fewer requests a second with one slot more. */
+    double slot_share{0.8};
 };
 
 /** The upstream for a request and what decided it. */
@@ -43,6 +45,9 @@
                               std::span<const std::uint32_t> tried, const cold_check& cold_allowed,
                               const choice_options& options, random_source& random, instant now);
 
+/** Slots of an upstream that requests may fill; at least 1. */
+int usable_slots(int slots, const choice_options& options);
+
 /** Expected duration at an upstream that has `in_flight` requests, in the units of `choice_options`. */
 double expected_cost(int in_flight, int slots, double slowness, const choice_options& options);
 
