Group nodes of large deployments into cells; let a read vouch for all copies once

Change: cells of about 14 nodes share loads and upstreams (one cell up to 24 nodes); greetings within a failure domain, rosters beyond; one or two nodes of a cell fetch records from afar. Change: a mark names the read that vouches for it and counts once; what is on the way is taken off.

--- a/modules/berylcrank_balance/berylcrank_balance.h
+++ b/modules/berylcrank_balance/berylcrank_balance.h
@@ -15,6 +15,7 @@
 #include "modules/berylcrank_balance/catalog/record_book.h"
 #include "modules/berylcrank_balance/catalog/upstream_directory.h"
 #include "modules/berylcrank_balance/choice/upstream_choice.h"
+#include "modules/berylcrank_balance/choice/upstream_subset.h"
 #include "modules/berylcrank_balance/config/route_table.h"
 #include "modules/berylcrank_balance/config/weighted_split.h"
 #include "modules/berylcrank_balance/load/load_book.h"
--- a/modules/berylcrank_balance/choice/upstream_choice.cpp
+++ b/modules/berylcrank_balance/choice/upstream_choice.cpp
@@ -32,13 +32,13 @@
     return cost * slowness;
 }
 
-upstream_pick choose_upstream(const upstream_directory& directory, load_book& loads, std::string_view service,
-                              std::span<const std::uint32_t> tried, const cold_check& cold_allowed,
-                              const choice_options& options, random_source& random, instant now) {
+upstream_pick choose_upstream(const upstream_directory& directory, load_book& loads,
+                              std::span<const upstream_ptr> candidates, std::span<const std::uint32_t> tried,
+                              const cold_check& cold_allowed, const choice_options& options, random_source& random, instant now) {
     upstream_pick best;
     double best_key = 0;
     bool below_knee = false;
-    for (const auto& it : directory.of_service(service)) {
+    for (const auto& it : candidates) {
         if (!directory.usable(*it) || contains(tried, it->number)) {
             continue;
         }
@@ -58,6 +58,7 @@
                                     options);
         cost *= cold ? cold_slowness : 1;
         cost += it->entry.failure_domain == options.failure_domain ? 0 : options.other_domain_cost;
+        cost *= load.outcomes_at == instant{} ? options.untried_factor : 1;
         cost /= std::pow(1 - load_book::failure_share(load, now), failure_weight);
         const double key = cost * (1 + options.jitter * random.unit());
         if (!best.it || key < best_key) {
--- a/modules/berylcrank_balance/choice/upstream_choice.h
+++ b/modules/berylcrank_balance/choice/upstream_choice.h
@@ -17,6 +17,7 @@
     double fill_cost{0.15};            ///< Added in proportion to the slots that are taken.
     double knee_share{0.8};            ///< Share of the slots from which upstreams slow down.
     double knee_cost{0.7};             ///< Added past the knee.
+    double untried_factor{0.4};        ///< On the cost of an upstream that no node has used yet.
     double jitter{0.12};               ///< Spread of the costs, so that nodes do not all pick the same upstream.
     /** While no upstream of a service has less than this share of its slots filled, requests wait: an upstream that
         slows down by 1.7 past the knee ends fewer requests a second with one slot more. */
@@ -38,12 +39,12 @@
 
 /** Picks the upstream at which a request is expected to end soonest.
 
-    `tried` are the numbers of upstreams that the request already reached.
+    `candidates` are the upstreams of the service that this node uses; `tried` are the numbers of upstreams that the request already reached.
     @see load_book, upstream_directory
 */
-upstream_pick choose_upstream(const upstream_directory& directory, load_book& loads, std::string_view service,
-                              std::span<const std::uint32_t> tried, const cold_check& cold_allowed,
-                              const choice_options& options, random_source& random, instant now);
+upstream_pick choose_upstream(const upstream_directory& directory, load_book& loads,
+                              std::span<const upstream_ptr> candidates, std::span<const std::uint32_t> tried,
+                              const cold_check& cold_allowed, const choice_options& options, random_source& random, instant now);
 
 /** Slots of an upstream that requests may fill; at least 1. */
 int usable_slots(int slots, const choice_options& options);
--- a/modules/berylcrank_balance/config/route_table.h
+++ b/modules/berylcrank_balance/config/route_table.h
@@ -30,6 +30,9 @@
     /** The service of that name in the configuration in force; null if it has none. */
     [[nodiscard]] const service_entry* service(std::string_view name) const;
 
+    /** All services of the configuration in force, by name. */
+    [[nodiscard]] const absl::flat_hash_map<std::string, const service_entry*>& services() const { return services_; }
+
     [[nodiscard]] const ingress_limits& limits() const;
 
 private:
--- a/modules/berylcrank_balance/peers/peer_table.cpp
+++ b/modules/berylcrank_balance/peers/peer_table.cpp
@@ -6,46 +6,88 @@
 
 namespace berylcrank {
 
+namespace {
+
+std::uint64_t weight(std::uint64_t number, std::uint64_t key) {
+    const std::array<std::uint64_t, 2> pair{number, key};
+    return XXH3_64bits(pair.data(), sizeof(pair));
+}
+
+} // namespace
+
 std::uint64_t node_number(const node_info& it) {
     const auto text = it.name + '/' + it.ip;
     return XXH3_64bits(text.data(), text.size());
 }
 
+peer_table::peer_table(node_info self) : self_(std::move(self)), self_number_(node_number(self_)) {
+    regroup();
+}
+
 bool peer_table::learn(const node_info& it, instant now) {
     const auto number = node_number(it);
     if (number == self_number_ || peers_.contains(number)) {
         return false;
     }
     peers_[number] = {.info = it, .number = number, .added = now};
+    regroup();
     return true;
 }
 
-bool peer_table::heard(const node_info& it, bool ready, instant now) {
+bool peer_table::heard(const node_info& it, bool ready, std::uint32_t beat, instant now) {
     const auto number = node_number(it);
     if (number == self_number_) {
         return false;
     }
     auto& held = peers_[number];
     const bool fresh = !held.ever_heard || held.info.incarnation != it.incarnation;
-    held.info = it;
-    held.number = number;
-    held.heard = now;
-    held.ever_heard = true;
-    held.ready = ready;
+    const bool regroups = held.info.failure_domain != it.failure_domain || held.number == 0;
+    held = {.info = it, .number = number, .added = held.added, .heard = now, .beat = beat, .ready = ready,
+            .ever_heard = true};
+    if (regroups) {
+        regroup();
+    }
     return fresh;
 }
 
-bool peer_table::alive(std::uint64_t number, std::uint64_t incarnation, bool ready, instant now) {
-    const auto it = peers_.find(number);
-    if (it == peers_.end() || it->second.info.incarnation != incarnation) {
+bool peer_table::alive(const roster_entry& it, instant now) {
+    const auto found = peers_.find(it.number);
+    if (found == peers_.end() || found->second.info.incarnation != it.incarnation) {
         return false;
     }
-    it->second.heard = now;
-    it->second.ever_heard = true;
-    it->second.ready = ready;
+    auto& held = found->second;
+    held.heard = now;
+    held.ever_heard = true;
+    held.ready = it.ready;
+    held.beat = it.beat;
     return true;
 }
 
+void peer_table::hear_roster(const std::vector<roster_entry>& roster, instant now) {
+    for (const auto& it : roster) {
+        const auto found = peers_.find(it.number);
+        if (found == peers_.end() || it.incarnation < found->second.info.incarnation) {
+            continue; // an unknown node greets everybody itself
+        }
+        auto& held = found->second;
+        if (it.incarnation > held.info.incarnation || it.beat > held.beat) {
+            held.info.incarnation = it.incarnation;
+            alive(it, now);
+        }
+    }
+}
+
+std::vector<roster_entry> peer_table::roster(instant now) const {
+    std::vector<roster_entry> result;
+    for (const auto& [number, it] : peers_) {
+        if (is_live(it, now)) {
+            result.push_back(
+                {.number = number, .incarnation = it.info.incarnation, .beat = it.beat, .ready = it.ready});
+        }
+    }
+    return result;
+}
+
 std::vector<std::uint64_t> peer_table::expire(instant now) {
     std::vector<std::uint64_t> turned_silent;
     std::vector<std::uint64_t> gone;
@@ -53,23 +95,104 @@
     for (const auto& [number, it] : peers_) {
         const bool live = is_live(it, now);
         live_count += live ? 1 : 0;
-        auto& was = was_live_[number];
-        if (was && !live) {
+        if (live) {
+            was_live_.insert(number);
+        } else if (was_live_.erase(number) > 0) {
             turned_silent.push_back(number);
         }
-        was = live;
         if ((!it.ever_heard && now - it.added > unheard) || (it.ever_heard && now - it.heard > forgotten)) {
             gone.push_back(number);
         }
     }
     for (const auto number : gone) {
         peers_.erase(number);
-        was_live_.erase(number);
+    }
+    if (!gone.empty()) {
+        regroup();
     }
     most_seen_ = std::max(most_seen_, live_count);
     return turned_silent;
 }
 
+void peer_table::regroup() {
+    nodes_in_.clear();
+    ++nodes_in_[self_.failure_domain];
+    for (const auto& [number, it] : peers_) {
+        ++nodes_in_[it.info.failure_domain];
+    }
+    cells_.clear();
+    for (const auto& [number, it] : peers_) {
+        cells_[number] = cell_of(it.info, number);
+    }
+    own_cell_ = cell_of(self_, self_number_);
+}
+
+std::uint32_t peer_table::cells_in(const std::string& failure_domain) const {
+    const auto it = nodes_in_.find(failure_domain);
+    const auto n = it == nodes_in_.end() ? 0 : it->second;
+    return static_cast<std::uint32_t>(std::max<std::size_t>(1, (n + cell_size / 2) / cell_size));
+}
+
+cell peer_table::cell_of(const node_info& it, std::uint64_t number) const {
+    if (!many_cells()) {
+        return {};
+    }
+    return {.failure_domain = it.failure_domain,
+            .index = static_cast<std::uint32_t>(number % cells_in(it.failure_domain))};
+}
+
+cell peer_table::home_cell(std::uint32_t upstream, const std::string& failure_domain) const {
+    if (!many_cells()) {
+        return {};
+    }
+    const std::string* domain = nodes_in_.contains(failure_domain) ? &failure_domain : nullptr;
+    if (domain == nullptr) { // no node there: some other failure domain answers for it
+        std::uint64_t best = 0;
+        for (const auto& [name, n] : nodes_in_) {
+            const auto w = weight(XXH3_64bits(name.data(), name.size()), upstream);
+            if (domain == nullptr || w > best) {
+                domain = &name;
+                best = w;
+            }
+        }
+    }
+    return {.failure_domain = *domain, .index = upstream % cells_in(*domain)};
+}
+
+std::size_t peer_table::cell_count() const {
+    if (!many_cells()) {
+        return 1;
+    }
+    std::size_t n = 0;
+    for (const auto& [domain, nodes] : nodes_in_) {
+        n += cells_in(domain);
+    }
+    return n;
+}
+
+peer_relation peer_table::relation(const peer& it) const {
+    const auto found = cells_.find(it.number);
+    if (found != cells_.end() && found->second == own_cell_) {
+        return peer_relation::same_cell;
+    }
+    return it.info.failure_domain == self_.failure_domain ? peer_relation::same_domain : peer_relation::distant;
+}
+
+bool peer_table::is_live(const peer& it, instant now) const {
+    if (!it.ever_heard) {
+        return false;
+    }
+    switch (relation(it)) {
+    case peer_relation::same_cell:
+        return now - it.heard < silence_in_cell;
+    case peer_relation::same_domain:
+        return now - it.heard < silence_in_domain;
+    case peer_relation::distant:
+        return now - it.heard < silence_distant;
+    }
+    return false;
+}
+
 const peer* peer_table::find(std::uint64_t number) const {
     const auto it = peers_.find(number);
     return it == peers_.end() ? nullptr : &it->second;
@@ -93,22 +216,27 @@
     return result;
 }
 
+bool peer_table::precedes(const peer& it) const {
+    return it.info.capacity != self_.capacity ? it.info.capacity > self_.capacity : it.number < self_number_;
+}
+
 std::size_t peer_table::rank(instant now) const {
-    std::size_t n = 0;
-    for (const auto& [number, it] : peers_) {
-        n += is_live(it, now) && number < self_number_ ? 1 : 0;
-    }
-    return n;
+    return static_cast<std::size_t>(std::count_if(peers_.begin(), peers_.end(), [&](const auto& it) {
+        return is_live(it.second, now) && precedes(it.second);
+    }));
+}
+
+std::size_t peer_table::rank_in_cell(instant now) const {
+    return static_cast<std::size_t>(std::count_if(peers_.begin(), peers_.end(), [&](const auto& it) {
+        return relation(it.second) == peer_relation::same_cell && is_live(it.second, now) && precedes(it.second);
+    }));
 }
 
 bool peer_table::owns(std::uint64_t key, instant now) const {
-    const auto weight = [key](std::uint64_t number) {
-        const std::array<std::uint64_t, 2> pair{number, key};
-        return XXH3_64bits(pair.data(), sizeof(pair));
-    };
-    const auto own = weight(self_number_);
+    const auto own = weight(self_number_, key);
     return std::none_of(peers_.begin(), peers_.end(), [&](const auto& it) {
-        return it.second.ready && is_live(it.second, now) && weight(it.first) > own;
+        return it.second.ready && weight(it.first, key) > own && relation(it.second) == peer_relation::same_cell &&
+               is_live(it.second, now);
     });
 }
 
--- a/modules/berylcrank_gateway/client/connection_pool.cpp
+++ b/modules/berylcrank_gateway/client/connection_pool.cpp
@@ -7,11 +7,9 @@
 namespace berylcrank {
 
 bool connection_pool::fresh(const client_connection& it, millis max_idle) const {
-    auto limit = max_idle;
-    if (it.keep_alive() > millis{}) {
-        limit = std::min(limit, std::max(it.keep_alive() - idle_margin, it.keep_alive() * 0.5));
-    }
-    return it.idle() && time_.now() - it.idle_since() < limit;
+    const auto limit = it.keep_alive() > millis{} ? std::max(it.keep_alive() - idle_margin, it.keep_alive() * 0.5)
+                                                  : usual_idle;
+    return it.idle() && time_.now() - it.idle_since() < std::min(limit, max_idle);
 }
 
 client_connection_ptr connection_pool::take(const std::string& key, const std::string& address, millis max_idle) {
@@ -46,7 +44,7 @@
 void connection_pool::expire() {
     for (auto& [key, idle] : idle_) {
         std::erase_if(idle, [this](const auto& it) {
-            const bool keep = fresh(*it, usual_idle);
+            const bool keep = fresh(*it, longest_idle);
             if (!keep) {
                 it->cancel();
             }
--- a/modules/berylcrank_gateway/client/connection_pool.h
+++ b/modules/berylcrank_gateway/client/connection_pool.h
@@ -17,6 +17,8 @@
 public:
     /** Longest time for which an idle connection is kept if the other side names no time of its own. */
     static constexpr millis usual_idle{4000};
+    /** Longest time for which any idle connection is kept. */
+    static constexpr millis longest_idle{30000};
     /** Taken off the time that the other side names, for requests that cross its close. */
     static constexpr millis idle_margin{1500};
 
--- a/modules/berylcrank_gateway/client/simple_call.cpp
+++ b/modules/berylcrank_gateway/client/simple_call.cpp
@@ -73,7 +73,7 @@
 
 void simple_caller::call(const call_request& request, millis limit, handler done) {
     auto it = std::make_shared<pending>(pool_, request.address,
-                                        pool_.take(request.address, request.address, connection_pool::usual_idle),
+                                        pool_.take(request.address, request.address, connection_pool::longest_idle),
                                         time_.now() + limit, max_body_, std::move(done));
     pending_.push_back(it);
     it->start(serialize(request));
--- a/modules/berylcrank_gateway/flow/attempt.cpp
+++ b/modules/berylcrank_gateway/flow/attempt.cpp
@@ -19,7 +19,7 @@
     if (target_->cold_until > started_) {
         node_.warmups.sent(target_->number, started_);
     }
-    connection_ = node_.connections.take(connection_key(*target_), target_->entry.address, connection_pool::usual_idle);
+    connection_ = node_.connections.take(connection_key(*target_), target_->entry.address, connection_pool::longest_idle);
     connection_->call(std::move(request), *this, no_body);
 }
 
--- a/modules/berylcrank_gateway/flow/node_state.h
+++ b/modules/berylcrank_gateway/flow/node_state.h
@@ -19,7 +19,7 @@
     node_state(boost::asio::io_context& io, const clock& time_source, const wire_format& format, event_log& events,
                gateway_options node_options, std::uint64_t seed)
         : time(time_source), wire(format), log(events), options(std::move(node_options)), random(seed),
-          split(random.unit()), peers(options.self), connections(io, time) {}
+          split(random.unit()), peers(options.self), subset(upstreams, peers), connections(io, time) {}
 
     const clock& time;
     const wire_format& wire;
@@ -35,6 +35,7 @@
     wait_queue waiting;
     warmup_gate warmups;
     peer_table peers;
+    upstream_subset subset;
     connection_pool connections; // to upstreams
     absl::flat_hash_map<std::string, resend_budget> budgets;
 
@@ -51,10 +52,15 @@
                    : it->warm_up_per_second * options.warmup_factor + options.warmup_slack;
     }
 
+    /** Whether this node is the one that probes an upstream and admits requests to it while it is cold. */
+    [[nodiscard]] bool answers_for(const upstream& it, instant now) const {
+        return subset.is_home(it) && peers.owns(it.number, now);
+    }
+
     /** Whether a cold upstream may get a request from this node now. */
     [[nodiscard]] bool cold_allowed(const upstream& it, instant now) {
         const double rate = cold_rate(it.entry.service);
-        return rate <= 0 || (peers.owns(it.number, now) && warmups.allows(it.number, rate, now));
+        return rate <= 0 || (answers_for(it, now) && warmups.allows(it.number, rate, now));
     }
 };
 
--- a/modules/berylcrank_gateway/flow/prober.cpp
+++ b/modules/berylcrank_gateway/flow/prober.cpp
@@ -18,16 +18,19 @@
 
 void prober::tick(instant now) {
     caller_.check_time(now);
-    for (const auto& [id, it] : node_.upstreams.all()) {
-        auto& held = states_[it->number];
-        if (held.running || now < held.next || !node_.upstreams.usable(*it)) {
-            continue;
+    for (const auto& [name, service] : node_.routes.services()) {
+        for (const auto& it : node_.subset.of_service(name, now)) {
+            if (node_.peers.owns(it->number, now)) {
+                probe_if_due(it, service->health_path, now);
+            }
         }
-        const auto* service = node_.routes.service(it->entry.service);
-        if (service == nullptr || !node_.peers.owns(it->number, now)) {
-            continue;
-        }
-        probe(it, service->health_path, now);
+    }
+}
+
+void prober::probe_if_due(const upstream_ptr& it, const std::string& path, instant now) {
+    const auto& held = states_[it->number];
+    if (!held.running && now >= held.next && node_.upstreams.usable(*it)) {
+        probe(it, path, now);
     }
 }
 
--- a/modules/berylcrank_gateway/flow/prober.h
+++ b/modules/berylcrank_gateway/flow/prober.h
@@ -23,6 +23,7 @@
         bool running{false};
     };
 
+    void probe_if_due(const upstream_ptr& it, const std::string& path, instant now);
     void probe(const upstream_ptr& it, const std::string& path, instant now);
     void took(const upstream_ptr& it, const call_result& result, instant sent);
 
--- a/modules/berylcrank_gateway/flow/request_flow.cpp
+++ b/modules/berylcrank_gateway/flow/request_flow.cpp
@@ -65,7 +65,7 @@
 
 upstream_pick request_flow::pick() {
     const auto now = node_.time.now();
-    return choose_upstream(node_.upstreams, node_.loads, service_, tried_,
+    return choose_upstream(node_.upstreams, node_.loads, node_.subset.of_service(service_, now), tried_,
                            [this, now](const upstream& it) { return node_.cold_allowed(it, now); },
                            node_.options.choice, node_.random, now);
 }
--- a/modules/berylcrank_gateway/node/gateway_node.cpp
+++ b/modules/berylcrank_gateway/node/gateway_node.cpp
@@ -11,6 +11,9 @@
 constexpr millis pause_noticed{1500};      // a longer gap between ticks is reported as a pause of the process
 constexpr millis pull_limit{600};          // for a question to another node
 constexpr std::size_t max_state = 64U << 20U; // bytes of an answer with records
+constexpr std::size_t roster_fanout = 2;   // nodes that a roster goes to
+constexpr std::size_t cell_fetchers = 2;   // nodes of a cell that fetch records from outside it at once
+constexpr millis cell_patience{250};       // for which the others wait for them
 constexpr std::size_t known_in_hello = 8;  // addresses of other nodes in a message
 constexpr millis first_announce_retry{300};
 constexpr millis longest_announce_retry{2000};
@@ -20,7 +23,7 @@
 gateway_node::gateway_node(boost::asio::io_context& io, const clock& time, const wire_format& wire,
                            metadata_store& store, event_log& log, const gateway_options& options)
     : io_(io), time_(time), log_(log), store_(store), node_(io, time, wire, log, options, entropy()), gateway_(node_),
-      prober_(io, node_), follower_(store, time, log, {},
+      prober_(io, node_), follower_(store, time, log, {}, node_.peers.self_number(), options.self.incarnation,
                                     [this](record_source source, const state_record& it, bool after_outage) {
                                         return take_record(source, it, after_outage);
                                     }),
@@ -71,10 +74,12 @@
         log_.line("paused").field("for_ms", (now - last_tick_).count()).send();
     }
     last_tick_ = now;
+    gossip_.poll();
     announce();
     follower_.tick(node_.peers.rank(now), now);
     node_.upstreams.expire(now);
     exchange_messages(now);
+    pull_if_due(now);
     prober_.tick(now);
     peer_calls_.check_time(now);
     gateway_.tick(now);
@@ -129,15 +134,26 @@
     return {.node = node_.peers.self_number(),
             .incarnation = node_.peers.self().incarnation,
             .ready = ready(),
-            .marks = follower_.marks(now)};
+            .marks = follower_.marks(now),
+            .beat = beat_};
 }
 
 void gateway_node::greet(const node_info& it, bool asks) {
     const auto now = time_.now();
     auto hello = message(now);
+    hello.has_marks = true;
     hello.self = node_.peers.self();
     hello.asks_self = asks;
-    gossip_.send(encode(hello, now), it.ip, it.gossip_port);
+    const std::array<gossip_link::endpoint, 1> to{gossip_link::address(it.ip, it.gossip_port)};
+    gossip_.send(encode(hello, now), to);
+}
+
+void gateway_node::greet_seeds() {
+    for (const auto& ip : node_.options.seed_ips) {
+        if (ip != node_.peers.self().ip) {
+            greet({.ip = ip, .gossip_port = node_.peers.self().gossip_port}, true);
+        }
+    }
 }
 
 void gateway_node::exchange_messages(instant now) {
@@ -145,26 +161,55 @@
         return;
     }
     next_message_ = now + node_.options.message_interval;
-    const bool hello = now >= next_hello_;
-    if (hello) {
-        next_hello_ = now + node_.options.hello_interval;
-    }
+    ++beat_;
     for (const auto number : node_.peers.expire(now)) {
         node_.loads.peer_in_flight(number, {});
         const auto* it = node_.peers.find(number);
         log_.line("peer-silent").field("peer", it == nullptr ? "" : it->info.name).send();
     }
-    send_message(now, hello);
-    if (hello && node_.peers.live(now).empty()) {
-        for (const auto& ip : node_.options.seed_ips) {
-            if (ip != node_.peers.self().ip) {
-                greet({.ip = ip, .gossip_port = node_.peers.self().gossip_port}, true);
-            }
+    send_loads(now);
+    const auto own_reads = follower_.own_reads();
+    if (own_reads != marks_sent_) {
+        marks_sent_ = own_reads;
+        send_marks(now, true);
+    }
+    if (now >= next_hello_) {
+        next_hello_ = now + node_.options.hello_interval;
+        send_hello(now);
+        if (node_.peers.live(now).empty()) {
+            greet_seeds();
+        }
+    }
+    if (node_.peers.many_cells() && now >= next_roster_) {
+        next_roster_ = now + node_.options.roster_interval;
+        send_roster(now);
+    }
+}
+
+void gateway_node::send_to(const node_message& it, const std::vector<const peer*>& peers, instant now) {
+    std::vector<gossip_link::endpoint> to;
+    to.reserve(peers.size());
+    for (const auto* peer : peers) {
+        to.push_back(gossip_link::address(peer->info.ip, peer->info.gossip_port));
+    }
+    if (!to.empty()) {
+        gossip_.send(encode(it, now), to);
+    }
+}
+
+void gateway_node::send_marks(instant now, bool to_all) {
+    auto it = message(now);
+    it.has_marks = true;
+    std::vector<const peer*> to;
+    for (const auto* peer : node_.peers.live(now)) {
+        if (to_all || node_.peers.relation(*peer) == peer_relation::same_cell) {
+            to.push_back(peer);
         }
     }
+    send_to(it, to, now);
 }
 
-void gateway_node::send_message(instant now, bool hello) {
+void gateway_node::send_loads(instant now) {
     auto it = message(now);
     for (auto& [number, load] : node_.loads.all()) {
         if (load.own > 0) {
@@ -179,26 +224,50 @@
             news.report = load.report;
         }
         const auto target = node_.upstreams.find(number);
-        if (target && node_.peers.owns(number, now)) {
+        if (target && node_.answers_for(*target, now)) {
             news.cold_left = std::max(millis{}, target->cold_until - now);
         }
         load.unsent = {};
         load.report_unsent = false;
         it.loads.push_back(news);
     }
-    if (hello) {
-        it.self = node_.peers.self();
-        for (const auto* peer : node_.peers.live(now)) {
-            if (it.known.size() < known_in_hello) {
-                it.known.push_back(peer->info);
-            }
+    std::vector<const peer*> to;
+    for (const auto* peer : node_.peers.live(now)) {
+        if (node_.peers.relation(*peer) == peer_relation::same_cell) {
+            to.push_back(peer);
         }
     }
-    const auto bytes = encode(it, now);
-    const auto peers = hello ? node_.peers.all() : node_.peers.live(now);
-    for (const auto* peer : peers) {
-        gossip_.send(bytes, peer->info.ip, peer->info.gossip_port);
+    send_to(it, to, now);
+}
+
+void gateway_node::send_hello(instant now) {
+    auto it = message(now);
+    it.has_marks = true;
+    it.self = node_.peers.self();
+    std::vector<const peer*> to;
+    for (const auto* peer : node_.peers.all()) {
+        const bool near = node_.peers.relation(*peer) != peer_relation::distant;
+        if (near || !peer->ever_heard) {
+            to.push_back(peer);
+        }
+        if (it.known.size() < known_in_hello && node_.peers.is_live(*peer, now)) {
+            it.known.push_back(peer->info);
+        }
     }
+    send_to(it, to, now);
+}
+
+void gateway_node::send_roster(instant now) {
+    auto it = message(now);
+    it.has_marks = true;
+    it.self = node_.peers.self();
+    it.roster = node_.peers.roster(now);
+    auto all = node_.peers.all();
+    std::vector<const peer*> to;
+    for (std::size_t i = 0; i < roster_fanout && !all.empty(); ++i) {
+        to.push_back(all[node_.random.below(all.size())]);
+    }
+    send_to(it, to, now);
 }
 
 void gateway_node::hear(const node_message& it) {
@@ -207,12 +276,14 @@
         return;
     }
     if (it.self) {
-        if (node_.peers.heard(*it.self, it.ready, now)) {
+        if (node_.peers.heard(*it.self, it.ready, it.beat, now)) {
             log_.line("peer-heard").field("peer", it.self->name).field("incarnation", it.self->incarnation).send();
         }
-    } else if (!node_.peers.alive(it.node, it.incarnation, it.ready, now)) {
+    } else if (!node_.peers.alive(
+                   {.number = it.node, .incarnation = it.incarnation, .beat = it.beat, .ready = it.ready}, now)) {
         return; // its address follows with its next hello
     }
+    node_.peers.hear_roster(it.roster, now);
     const auto* sender = node_.peers.find(it.node);
     if (sender == nullptr) {
         return;
@@ -225,9 +296,30 @@
             greet(info, true);
         }
     }
-    learn_loads(it, now);
-    if (follower_.hear(it.marks, now)) {
-        pull(*node_.peers.find(it.node), now);
+    if (node_.peers.relation(*node_.peers.find(it.node)) == peer_relation::same_cell) {
+        learn_loads(it, now);
+    }
+    if (it.has_marks && follower_.hear(it.marks, now)) {
+        const auto& from = *node_.peers.find(it.node);
+        if (behind_peer_ == 0) {
+            behind_since_ = now;
+        }
+        behind_peer_ = it.node;
+        // One or two nodes of a cell fetch from afar, the others from them.
+        if (node_.peers.relation(from) == peer_relation::same_cell || node_.peers.rank_in_cell(now) < cell_fetchers) {
+            pull(from, now);
+        }
+    }
+}
+
+void gateway_node::pull_if_due(instant now) {
+    if (behind_peer_ == 0 || now - behind_since_ < cell_patience) {
+        return;
+    }
+    const auto* from = node_.peers.find(behind_peer_);
+    behind_peer_ = 0;
+    if (from != nullptr) {
+        pull(*from, now);
     }
 }
 
@@ -268,6 +360,8 @@
             return;
         }
         follower_.merge(*answer, time_.now());
+        behind_peer_ = 0;
+        send_marks(time_.now(), false);
     });
 }
 
--- a/modules/berylcrank_gateway/node/node_handlers.cpp
+++ b/modules/berylcrank_gateway/node/node_handlers.cpp
@@ -57,7 +57,9 @@
         add(node_.peers.self());
     }
     for (const auto* it : node_.peers.live(now)) {
-        if (it->ready && !it->info.front_address.empty()) {
+        // News of distant nodes is seconds old; their callers ask them first.
+        if (it->ready && !it->info.front_address.empty() &&
+            node_.peers.relation(*it) != peer_relation::distant) {
             add(it->info);
         }
     }
--- a/modules/berylcrank_gateway/peers/gossip_link.cpp
+++ b/modules/berylcrank_gateway/peers/gossip_link.cpp
@@ -1,63 +1,74 @@
 #include "modules/berylcrank_gateway/peers/gossip_link.h"
 
+#include <algorithm>
 #include <array>
-#include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/address.hpp>
+#include <sys/socket.h>
+#include <vector>
 
 namespace berylcrank {
 
 namespace {
 
-constexpr std::size_t max_datagram = 65536;
+constexpr std::size_t max_datagram = 9000; // bytes; messages beyond are split by the sender's limits
+constexpr std::size_t batch = 32;          // datagrams a system call
 
 } // namespace
 
 gossip_link::gossip_link(boost::asio::io_context& io, const std::string& ip, std::uint16_t port, const clock& time,
                          handler received)
-    : socket_(io, boost::asio::ip::udp::endpoint{boost::asio::ip::make_address(ip), port}), time_(time),
-      received_(std::move(received)) {
+    : socket_(io, address(ip, port)), time_(time), received_(std::move(received)) {
     socket_.non_blocking(true);
-    wait_for_message();
 }
 
-void gossip_link::wait_for_message() {
-    socket_.async_wait(boost::asio::ip::udp::socket::wait_read, [this](const auto& ec) {
-        if (ec == boost::asio::error::operation_aborted) {
-            return;
-        }
-        read_messages();
-        wait_for_message();
-    });
+gossip_link::endpoint gossip_link::address(const std::string& ip, std::uint16_t port) {
+    return {boost::asio::ip::make_address(ip), port};
 }
 
-void gossip_link::read_messages() {
-    static std::array<char, max_datagram> buf; // one thread reads all datagrams
+void gossip_link::poll() {
+    static std::array<std::array<char, max_datagram>, batch> bufs; // one thread reads all datagrams
+    std::array<iovec, batch> parts{};
+    std::array<mmsghdr, batch> messages{};
+    for (std::size_t i = 0; i < batch; ++i) {
+        parts[i] = {.iov_base = bufs[i].data(), .iov_len = max_datagram};
+        messages[i].msg_hdr.msg_iov = &parts[i];
+        messages[i].msg_hdr.msg_iovlen = 1;
+    }
     for (;;) {
-        boost::system::error_code ec;
-        boost::asio::ip::udp::endpoint sender;
-        const auto n = socket_.receive_from(boost::asio::buffer(buf), sender, 0, ec);
-        if (ec == boost::asio::error::connection_refused) {
-            continue; // an earlier datagram reached a port without a listener
+        const int n = recvmmsg(socket_.native_handle(), messages.data(), batch, MSG_DONTWAIT, nullptr);
+        if (n <= 0) {
+            return; // nothing there, or an earlier datagram reached a port without a listener
         }
-        if (ec) {
-            return;
+        const auto now = time_.now();
+        for (std::size_t i = 0; i < static_cast<std::size_t>(n); ++i) {
+            if (const auto it = decode_message({bufs[i].data(), messages[i].msg_len}, now)) {
+                received_(*it);
+            } else {
+                ++unreadable_;
+            }
         }
-        if (const auto it = decode_message({buf.data(), n}, time_.now())) {
-            received_(*it);
-        } else {
-            ++unreadable_;
+        if (static_cast<std::size_t>(n) < batch) {
+            return;
         }
     }
 }
 
-void gossip_link::send(const std::string& bytes, const std::string& ip, std::uint16_t port) {
-    boost::system::error_code ec;
-    const auto address = boost::asio::ip::make_address(ip, ec);
-    if (ec) {
-        return; // addresses were checked when they were learnt
+void gossip_link::send(const std::string& bytes, std::span<const endpoint> nodes) {
+    iovec part{.iov_base = const_cast<char*>(bytes.data()), .iov_len = bytes.size()};
+    std::vector<mmsghdr> messages(nodes.size());
+    for (std::size_t i = 0; i < nodes.size(); ++i) {
+        auto& head = messages[i].msg_hdr;
+        head.msg_name = const_cast<sockaddr*>(nodes[i].data());
+        head.msg_namelen = static_cast<socklen_t>(nodes[i].size());
+        head.msg_iov = &part;
+        head.msg_iovlen = 1;
+    }
+    std::size_t sent = 0;
+    while (sent < messages.size()) {
+        const int n = sendmmsg(socket_.native_handle(), &messages[sent],
+                               static_cast<unsigned>(std::min(batch, messages.size() - sent)), MSG_DONTWAIT);
+        sent += n > 0 ? static_cast<std::size_t>(n) : 1; // the one that failed is lost
     }
-    socket_.send_to(boost::asio::buffer(bytes), {address, port}, 0, ec);
-    bytes_sent_ += bytes.size();
 }
 
 } // namespace berylcrank
--- a/modules/berylcrank_gateway/peers/node_message.cpp
+++ b/modules/berylcrank_gateway/peers/node_message.cpp
@@ -43,6 +43,7 @@
     to.setFrontAddress(it.front_address);
     to.setFailureDomain(it.failure_domain);
     to.setIncarnation(it.incarnation);
+    to.setCapacity(it.capacity);
 }
 
 node_info read_info(schema::NodeInfo::Reader it) {
@@ -51,7 +52,15 @@
             .gossip_port = it.getGossipPort(),
             .front_address = it.getFrontAddress().cStr(),
             .failure_domain = it.getFailureDomain().cStr(),
-            .incarnation = it.getIncarnation()};
+            .incarnation = it.getIncarnation(),
+            .capacity = it.getCapacity()};
+}
+
+void write(schema::RosterEntry::Builder to, const roster_entry& it) {
+    to.setNode(it.number);
+    to.setIncarnation(it.incarnation);
+    to.setBeat(it.beat);
+    to.setReady(it.ready);
 }
 
 void write(schema::StateMark::Builder to, const state_mark& it) {
@@ -59,10 +68,13 @@
     to.setEnd(it.end);
     to.setAgeMs(clamped<std::uint32_t>(it.age.value()));
     to.setChanged(it.changed);
+    to.setReader(it.reader);
+    to.setRead(it.read);
 }
 
 state_mark read_mark(schema::StateMark::Reader it) {
-    return {.complete = it.getComplete(), .end = it.getEnd(), .age = millis{it.getAgeMs()}, .changed = it.getChanged()};
+    return {.complete = it.getComplete(), .end = it.getEnd(), .age = millis{it.getAgeMs()},
+            .reader = it.getReader(), .read = it.getRead(), .changed = it.getChanged()};
 }
 
 void write(schema::LoadNews::Builder to, const load_news& it, instant now) {
@@ -105,7 +117,9 @@
     node_message result{.node = it.getNode(),
                         .incarnation = it.getIncarnation(),
                         .ready = it.getReady(),
-                        .asks_self = it.getAsksSelf()};
+                        .asks_self = it.getAsksSelf(),
+                        .beat = it.getBeat()};
+    result.has_marks = it.getMarks().size() > 0;
     for (std::size_t i = 0; i < std::min<std::size_t>(record_source_count, it.getMarks().size()); ++i) {
         result.marks[i] = read_mark(it.getMarks()[static_cast<unsigned>(i)]);
     }
@@ -118,6 +132,12 @@
     if (it.hasSelf()) {
         result.self = read_info(it.getSelf());
     }
+    for (const auto entry : it.getRoster()) {
+        result.roster.push_back({.number = entry.getNode(),
+                                 .incarnation = entry.getIncarnation(),
+                                 .beat = entry.getBeat(),
+                                 .ready = entry.getReady()});
+    }
     for (const auto info : it.getKnown()) {
         result.known.push_back(read_info(info));
     }
@@ -133,9 +153,16 @@
     to.setIncarnation(it.incarnation);
     to.setReady(it.ready);
     to.setAsksSelf(it.asks_self);
-    auto marks = to.initMarks(record_source_count);
-    for (unsigned i = 0; i < record_source_count; ++i) {
-        write(marks[i], it.marks[i]);
+    to.setBeat(it.beat);
+    if (it.has_marks) {
+        auto marks = to.initMarks(record_source_count);
+        for (unsigned i = 0; i < record_source_count; ++i) {
+            write(marks[i], it.marks[i]);
+        }
+    }
+    auto roster = to.initRoster(static_cast<unsigned>(it.roster.size()));
+    for (unsigned i = 0; i < it.roster.size(); ++i) {
+        write(roster[i], it.roster[i]);
     }
     auto loads = to.initLoads(static_cast<unsigned>(it.loads.size()));
     for (unsigned i = 0; i < it.loads.size(); ++i) {
--- a/modules/berylcrank_gateway/peers/node_message.h
+++ b/modules/berylcrank_gateway/peers/node_message.h
@@ -17,6 +17,8 @@
     bool complete{false};
     std::uint64_t end{0};
     millis age; ///< How long ago `end` was known to be the store's end.
+    std::uint64_t reader{0};  ///< Node whose read of the store confirmed `end`.
+    std::uint64_t read{0};    ///< Number of that read; grows with each read of that node.
     std::uint64_t changed{0}; ///< Offset behind the last record that changed what the node believes.
 };
 
@@ -35,11 +37,14 @@
     std::uint64_t incarnation{0};
     bool ready{false};
     std::array<state_mark, record_source_count> marks;
+    bool has_marks{false}; ///< Marks go out only when they have changed, and now and then.
     std::vector<load_news> loads;
     std::vector<in_flight_count> in_flight;
     std::optional<node_info> self;
     std::vector<node_info> known;
     bool asks_self{false};
+    std::uint32_t beat{0};
+    std::vector<roster_entry> roster;
 };
 
 /** A run of records as one node gives it to another. */
--- a/modules/berylcrank_gateway/state/state_follower.cpp
+++ b/modules/berylcrank_gateway/state/state_follower.cpp
@@ -10,6 +10,7 @@
     return it == record_source::operators ? "operators" : "upstreams";
 }
 
+constexpr unsigned read_bits = 20; // reads of one start, within the number of a read
 constexpr millis lapse_window{700}; // after an outage, removals that the first reads bring
 
 } // namespace
@@ -29,7 +30,7 @@
 }
 
 state_follower::state_follower(metadata_store& store, const clock& time, event_log& log, follower_options options,
-                               change_handler changed)
+                               std::uint64_t self, std::uint64_t incarnation, change_handler changed)
     : store_(store), time_(time), log_(log), options_(options),
       follows_{follow{.book = record_book([this, changed](const state_record& it) {
                    return changed(record_source::operators, it, time_.now() < of(record_source::operators).outage_over);
@@ -37,7 +38,7 @@
                follow{.book = record_book([this, changed](const state_record& it) {
                    return changed(record_source::upstreams, it, time_.now() < of(record_source::upstreams).outage_over);
                })}},
-      started_(time.now()) {}
+      started_(time.now()), self_(self), next_read_(incarnation << read_bits) {}
 
 bool state_follower::due(record_source source, std::size_t rank, instant now) const {
     const auto& it = of(source);
@@ -99,6 +100,9 @@
         it.book.merge(answer.records, answer.end, vouched);
     }
     it.read_everything = false;
+    it.reader = self_;
+    it.read = ++next_read_;
+    it.reads_seen[self_] = it.read;
     if (answer.more) {
         read(source, now);
     }
@@ -129,12 +133,27 @@
         if (!marks[i].complete) {
             continue;
         }
-        note_return(it, now - marks[i].age);
-        behind = !it.book.extend(marks[i].changed, marks[i].end, now - marks[i].age) || behind;
+        if (!it.book.complete() || it.book.end() < marks[i].changed) {
+            behind = true;
+        } else if (take_word(it, marks[i])) {
+            note_return(it, now);
+            it.book.extend(marks[i].changed, marks[i].end, now - marks[i].age - options_.message_delay);
+        }
     }
     return behind;
 }
 
+bool state_follower::take_word(follow& it, const state_mark& mark) const {
+    auto& seen = it.reads_seen[mark.reader];
+    if (mark.read <= seen) {
+        return false;
+    }
+    seen = mark.read;
+    it.reader = mark.reader;
+    it.read = mark.read;
+    return true;
+}
+
 void state_follower::merge(const state_answer& answer, instant now) {
     for (std::size_t i = 0; i < record_source_count; ++i) {
         const auto& mark = answer[i].mark;
@@ -143,7 +162,9 @@
             continue;
         }
         note_return(it, now);
-        it.book.merge(answer[i].records, mark.end, now - mark.age);
+        const bool newer = take_word(it, mark);
+        const auto vouched = newer ? now - mark.age - options_.message_delay : it.book.confirmed();
+        it.book.merge(answer[i].records, mark.end, vouched);
         it.read_everything = false;
     }
 }
@@ -164,7 +185,8 @@
     std::array<state_mark, record_source_count> result;
     for (std::size_t i = 0; i < record_source_count; ++i) {
         const auto& book = follows_[i].book;
-        result[i] = {.complete = book.complete(), .end = book.end(), .age = now - book.confirmed(), .changed = book.changed()};
+        result[i] = {.complete = book.complete(), .end = book.end(), .age = now - book.confirmed(),
+                     .reader = follows_[i].reader, .read = follows_[i].read, .changed = book.changed()};
     }
     return result;
 }
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -11,6 +11,15 @@
   frontAddress @3 :Text;
   failureDomain @4 :Text;
   incarnation @5 :UInt64;
+  capacity @6 :UInt32;
+  # Thousandths of a core.
+}
+
+struct RosterEntry {
+  node @0 :UInt64;
+  incarnation @1 :UInt64;
+  beat @2 :UInt32;
+  ready @3 :Bool;
 }
 
 struct LoadNews {
@@ -45,6 +54,10 @@
   # How long ago that was known to be the store's end.
   changed @3 :UInt64;
   # Offset behind the last record that changed what nodes believe.
+  reader @4 :UInt64;
+  # Node whose read of the store confirmed the end.
+  read @5 :UInt64;
+  # Number of that read; grows with each read of that node.
 }
 
 struct NodeMessage {
@@ -59,6 +72,9 @@
   known @7 :List(NodeInfo);
   asksSelf @8 :Bool;
   # The receiver's NodeInfo is not known to the sender.
+  beat @9 :UInt32;
+  # Grows while the sender runs.
+  roster @10 :List(RosterEntry);
 }
 
 struct Record {
