--- /dev/null
+++ b/tests/balance/choice_test.cpp
@@ -0,0 +1,195 @@
+#include "modules/berylcrank_balance/choice/upstream_choice.h"
+
+#include <algorithm>
+#include <deque>
+#include <doctest/doctest.h>
+#include <numeric>
+
+namespace berylcrank {
+
+namespace {
+
+instant at(std::int64_t ms) {
+    return instant{millis{ms}};
+}
+
+constexpr bool always(const upstream& /*it*/) {
+    return true;
+}
+
+struct choice_fixture {
+    upstream_directory directory;
+    load_book loads;
+    choice_options options{.failure_domain = "north"};
+    seeded_random random{5};
+
+    void add(const std::string& id, const std::string& domain = "north", int slots = 4) {
+        directory.apply({.id = id, .service = "s", .address = "10.0.0.1:80", .failure_domain = domain, .slots = slots},
+                        millis{}, at(0));
+        // used before, so that it does not count as untried
+        loads.outcome(number(id), {.good = 1}, at(1), false);
+    }
+
+    [[nodiscard]] std::uint32_t number(const std::string& id) const { return directory.find(id)->number; }
+
+    upstream_pick pick(instant now, std::vector<std::uint32_t> tried = {}) {
+        return choose_upstream(directory, loads, directory.of_service("s"), tried, always, options, random, now);
+    }
+
+    void report(const std::string& id, double slowness, instant when, int running = 0) {
+        loads.report(number(id), {.running = running, .slots = 4, .slowness = slowness, .at = when}, false);
+    }
+};
+
+} // namespace
+
+// Guards against requests to an upstream whose neighbours slow it down right now.
+TEST_CASE_FIXTURE(choice_fixture, "choose_upstream, one reports to be slow, avoids it while the report is fresh") {
+    add("a");
+    add("b");
+    report("a", 4, at(1000));
+    report("b", 1, at(1000));
+    for (int i = 0; i < 20; ++i) {
+        CHECK(pick(at(1030)).it->entry.id == "b");
+    }
+    bool slow_again = false; // after a while the report says nothing
+    for (int i = 0; i < 50; ++i) {
+        slow_again = slow_again || pick(at(9000)).it->entry.id == "a";
+    }
+    CHECK(slow_again);
+}
+
+// Guards against all nodes filling the upstream that looks best to each of them.
+TEST_CASE_FIXTURE(choice_fixture, "choose_upstream, other nodes have filled one, counts their requests") {
+    add("a");
+    add("b");
+    const std::vector<in_flight_count> others{{.upstream = number("a"), .count = 4}};
+    loads.peer_in_flight(99, others);
+    CHECK(pick(at(1000)).it->entry.id == "b");
+    loads.peer_in_flight(99, {});
+    loads.sent(number("b"));
+    loads.sent(number("b"));
+    CHECK(pick(at(1000)).it->entry.id == "a");
+}
+
+// Guards against overload that makes upstreams end fewer requests.
+TEST_CASE_FIXTURE(choice_fixture, "choose_upstream, all are at the knee, finds no room") {
+    add("a");
+    add("b");
+    for (const auto* id : {"a", "b"}) {
+        for (int i = 0; i < 3; ++i) {
+            loads.sent(number(id));
+        }
+    }
+    CHECK(pick(at(1000)).it == nullptr);
+    CHECK(pick(at(1000)).any_usable);
+    loads.ended(number("a"));
+    CHECK(pick(at(1000)).it != nullptr);
+}
+
+// Guards against an upstream that fails requests quicker than the others work and so attracts them.
+TEST_CASE_FIXTURE(choice_fixture, "choose_upstream, one fails most requests, avoids it") {
+    add("a");
+    add("b");
+    loads.outcome(number("a"), {.bad = 5}, at(1000), false);
+    loads.sent(number("b"));
+    for (int i = 0; i < 20; ++i) {
+        CHECK(pick(at(1010)).it->entry.id == "b");
+    }
+}
+
+// Guards against a second attempt at the same upstream, and against ones that cannot be reached.
+TEST_CASE_FIXTURE(choice_fixture, "choose_upstream, tried or not reachable, is left out") {
+    add("a");
+    add("b");
+    CHECK(pick(at(1000), {number("a")}).it->entry.id == "b");
+    loads.unreachable(number("b"), at(1000));
+    CHECK(pick(at(1010)).it->entry.id == "a");
+    CHECK(pick(at(1010), {number("a")}).it == nullptr);
+    CHECK(pick(at(1000) + load_book::first_pause, {number("a")}).it != nullptr);
+}
+
+// Guards against traffic between failure domains while the own one has room.
+TEST_CASE_FIXTURE(choice_fixture, "choose_upstream, equal load, prefers the own failure domain") {
+    add("near");
+    add("far", "south");
+    for (int i = 0; i < 20; ++i) {
+        CHECK(pick(at(1000)).it->entry.id == "near");
+    }
+}
+
+// Guards against upstreams that join and get nothing.
+TEST_CASE_FIXTURE(choice_fixture, "choose_upstream, one joined and was never used, tries it") {
+    add("a");
+    add("b");
+    directory.apply({.id = "new", .service = "s", .address = "10.0.0.9:80", .failure_domain = "south", .slots = 4},
+                    millis{}, at(500));
+    CHECK(pick(at(1000)).it->entry.id == "new");
+}
+
+// Guards against a choice that is worse under a changing load than what it replaced: least own in-flight requests and
+// random. Plays 12 upstreams of which a third runs four times slower for 300 ms at a time, reported each 60 ms.
+TEST_CASE("choose_upstream, slowness changes each 300 ms, ends more requests in time than simpler choices") {
+    constexpr int upstreams = 12;
+    constexpr double work_ms = 66;
+    constexpr double target_ms = 150;
+    const auto play = [&](int policy) {
+        choice_fixture it;
+        for (int i = 0; i < upstreams; ++i) {
+            it.add("u" + std::to_string(i));
+        }
+        seeded_random noise(77);
+        seeded_random policy_random(78);
+        std::vector<double> slow(upstreams, 1);
+        std::vector<std::deque<std::int64_t>> ends(upstreams); // of requests in flight
+        int in_time = 0;
+        int total = 0;
+        for (std::int64_t ms = 1000; ms < 31000; ms += 5) {
+            for (int i = 0; i < upstreams; ++i) {
+                const auto u = static_cast<std::size_t>(i);
+                if ((ms / 5 + i * 7) % 60 == 0) {
+                    slow[u] = noise.unit() < 0.35 ? 4 : 1;
+                }
+                while (!ends[u].empty() && ends[u].front() <= ms) {
+                    ends[u].pop_front();
+                    it.loads.ended(it.number("u" + std::to_string(i)));
+                }
+                if (ms % 60 == 0) {
+                    it.report("u" + std::to_string(i), slow[u], at(ms), static_cast<int>(ends[u].size()));
+                }
+            }
+            std::size_t picked = policy_random.below(upstreams);
+            if (policy == 1) { // least in flight
+                picked = static_cast<std::size_t>(
+                    std::min_element(ends.begin(), ends.end(),
+                                     [](const auto& a, const auto& b) { return a.size() < b.size(); }) -
+                    ends.begin());
+            } else if (policy == 2) {
+                const auto choice = it.pick(at(ms));
+                if (!choice.it) {
+                    ++total;
+                    continue;
+                }
+                picked = static_cast<std::size_t>(std::stoi(choice.it->entry.id.substr(1)));
+            }
+            const double knee = ends[picked].size() + 1 > 3 ? 1.7 : 1;
+            const double queue = std::max(0.0, static_cast<double>(ends[picked].size()) - 3) / 4;
+            const double took = work_ms * slow[picked] * knee * (1 + queue);
+            ends[picked].push_back(ms + static_cast<std::int64_t>(took));
+            std::sort(ends[picked].begin(), ends[picked].end());
+            it.loads.sent(it.number("u" + std::to_string(picked)));
+            ++total;
+            in_time += took <= target_ms ? 1 : 0;
+        }
+        return static_cast<double>(in_time) / total;
+    };
+    const double random = play(0);
+    const double least = play(1);
+    const double chosen = play(2);
+    MESSAGE("in time: random ", random, ", least in flight ", least, ", choose_upstream ", chosen);
+    CHECK(chosen > least);
+    CHECK(chosen > random);
+    CHECK(chosen >= 0.9); // of the requests; a third of the upstreams is slow at any moment
+}
+
+} // namespace berylcrank
--- /dev/null
+++ b/tests/balance/limits_test.cpp
@@ -0,0 +1,129 @@
+#include "modules/berylcrank_balance/admission/admission_rule.h"
+#include "modules/berylcrank_balance/admission/wait_queue.h"
+#include "modules/berylcrank_balance/budget/resend_budget.h"
+#include "modules/berylcrank_balance/warmup/warmup_gate.h"
+#include "modules/berylcrank_core/random/random_source.h"
+
+#include <algorithm>
+#include <deque>
+#include <doctest/doctest.h>
+
+namespace berylcrank {
+
+namespace {
+
+instant at(std::int64_t ms) {
+    return instant{millis{ms}};
+}
+
+// Largest number of moments within any window.
+std::size_t most_within(const std::vector<instant>& moments, millis window) {
+    std::size_t most = 0;
+    for (std::size_t first = 0, last = 0; last < moments.size(); ++last) {
+        while (moments[last] - moments[first] >= window) {
+            ++first;
+        }
+        most = std::max(most, last - first + 1);
+    }
+    return most;
+}
+
+struct wait_queue_fixture {
+    wait_queue subject;
+    std::uint64_t next{1};
+
+    std::uint64_t push(const std::string& service, int priority, std::int64_t give_up_ms) {
+        subject.push({.number = next, .service = service, .priority = priority, .give_up = at(give_up_ms)});
+        return next++;
+    }
+};
+
+} // namespace
+
+// Guards against lookups that are served before orders when there is little room.
+TEST_CASE_FIXTURE(wait_queue_fixture, "wait_queue, two priorities, gives the urgent one first") {
+    push("s", 2, 100);
+    const auto order = push("s", 1, 900);
+    const auto other = push("t", 2, 50);
+    CHECK(subject.front("s")->number == order);
+    CHECK(subject.ahead_of("s", 1) == 1);
+    CHECK(subject.ahead_of("s", 2) == 2);
+    subject.erase(order);
+    subject.erase(other);
+    CHECK(subject.services() == std::vector<std::string>{"s"});
+}
+
+// Guards against requests that wait beyond the time in which they can be served.
+TEST_CASE_FIXTURE(wait_queue_fixture, "wait_queue, give-up has come, hands the request back once") {
+    push("s", 2, 100);
+    push("s", 2, 200);
+    CHECK(subject.expired(at(99)).empty());
+    CHECK(subject.expired(at(100)).size() == 1);
+    CHECK(subject.expired(at(100)).empty());
+    CHECK(subject.size() == 1);
+}
+
+// Guards against requests that are held although they cannot be served in time.
+TEST_CASE("decide_admission, more ahead than drains in time, refuses at once") {
+    const admission_options options;
+    admission_inputs in{.latency_target = millis{200}, .left = millis{1200}, .ahead = 0, .drained_per_second = 20};
+    CHECK(decide_admission(in, options).waits);
+    CHECK(decide_admission(in, options).give_up_after == millis{60});
+    in.ahead = 10; // half a second of work
+    CHECK_FALSE(decide_admission(in, options).waits);
+}
+
+// Guards against callers that all come back together, or only when their time is over.
+TEST_CASE("retry_after, queue of 5 at 20 a second, is when the queue has drained") {
+    const admission_options options;
+    for (const double random : {0.0, 0.5, 0.99}) {
+        const admission_inputs in{.ahead = 5, .drained_per_second = 20, .random = random};
+        CHECK(retry_after(in, options) >= millis{300});
+        CHECK(retry_after(in, options) <= millis{600});
+    }
+}
+
+// Guards against a service that gets more resends than its budget from all nodes together, however the requests are
+// spread over the nodes and whenever the failures come.
+TEST_CASE("resend_budget, 13 nodes resend all they may, stay within the limits in every window") {
+    constexpr std::size_t nodes = 13;
+    const resend_limits limits{.window = millis{10000}, .ratio = 0.2, .burst = 56};
+    std::vector<resend_budget> subjects(nodes, resend_budget(limits));
+    seeded_random random(11);
+    std::vector<instant> requests;
+    std::vector<instant> resends;
+    for (std::int64_t ms = 0; ms < 60000; ms += 4) {
+        auto& subject = subjects[random.below(nodes)];
+        requests.push_back(at(ms));
+        subject.note_request(at(ms));
+        if (ms > 20000 && subject.take(nodes, at(ms))) { // every request fails from 20 s on
+            resends.push_back(at(ms));
+        }
+    }
+    CHECK(resends.size() > 1000);
+    for (std::int64_t from = 0; from < 50000; from += 100) {
+        const auto in_window = [&](const auto& it) { return it >= at(from) && it < at(from + 10000); };
+        const auto n = std::count_if(requests.begin(), requests.end(), in_window);
+        const auto r = std::count_if(resends.begin(), resends.end(), in_window);
+        CHECK(static_cast<double>(r) <= limits.ratio * static_cast<double>(n) + limits.burst);
+    }
+}
+
+// Guards against a cold upstream that crashes because two nodes believe to be the one that admits requests.
+TEST_CASE("warmup_gate, two nodes admit all they may, stay within the rate in every second") {
+    constexpr double rate = 5.1 * 1.5 + 5;
+    std::vector<warmup_gate> subjects(2);
+    std::vector<instant> sends;
+    for (std::int64_t ms = 0; ms < 10000; ms += 3) {
+        for (auto& subject : subjects) {
+            if (subject.allows(7, rate, at(ms))) {
+                subject.sent(7, at(ms));
+                sends.push_back(at(ms));
+            }
+        }
+    }
+    CHECK(static_cast<double>(most_within(sends, millis{1000})) <= rate);
+    CHECK(sends.size() >= 80); // over 10 s: not much below the rate that it tolerates for sure, 5.1 x 2 nodes
+}
+
+} // namespace berylcrank
--- /dev/null
+++ b/tests/balance/peers_test.cpp
@@ -0,0 +1,142 @@
+#include "modules/berylcrank_balance/choice/upstream_subset.h"
+#include "modules/berylcrank_balance/peers/peer_table.h"
+
+#include <doctest/doctest.h>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace berylcrank {
+
+namespace {
+
+instant at(std::int64_t ms) {
+    return instant{millis{ms}};
+}
+
+node_info node(int n, const std::string& domain) {
+    return {.name = "n" + std::to_string(n),
+            .ip = "10.0." + std::to_string(n / 250) + '.' + std::to_string(n % 250 + 1),
+            .gossip_port = 7540,
+            .failure_domain = domain,
+            .incarnation = 1000};
+}
+
+// The same deployment as each of its nodes sees it.
+struct deployment_fixture {
+    std::vector<node_info> nodes;
+    std::vector<std::unique_ptr<peer_table>> tables;
+
+    void start(int n, const std::vector<std::string>& domains) {
+        for (int i = 0; i < n; ++i) {
+            nodes.push_back(node(i, domains[static_cast<std::size_t>(i) % domains.size()]));
+        }
+        for (const auto& self : nodes) {
+            tables.push_back(std::make_unique<peer_table>(self));
+            hear_all(*tables.back(), at(1000));
+        }
+    }
+
+    void hear_all(peer_table& table, instant now) {
+        for (const auto& it : nodes) {
+            table.heard(it, true, 1, now);
+        }
+        table.expire(now);
+    }
+};
+
+} // namespace
+
+// Guards against duties that nobody does, or that all nodes do.
+TEST_CASE_FIXTURE(deployment_fixture, "peer_table, 13 nodes with the same view, each key has one owner") {
+    start(13, {"a", "b", "c"});
+    for (std::uint64_t key = 0; key < 200; ++key) {
+        int owners = 0;
+        for (const auto& table : tables) {
+            owners += table->owns(key, at(1100)) ? 1 : 0;
+        }
+        CHECK(owners == 1);
+    }
+    std::set<std::size_t> ranks;
+    for (const auto& table : tables) {
+        ranks.insert(table->rank(at(1100)));
+    }
+    CHECK(ranks.size() == 13);
+}
+
+// Guards against callers that are sent to a node which is silent.
+TEST_CASE_FIXTURE(deployment_fixture, "peer_table, node turns silent, is no longer live and is reported once") {
+    start(3, {"a"});
+    auto& subject = *tables[0];
+    const auto later = at(1000) + peer_table::silence_in_cell;
+    subject.heard(nodes[1], true, 2, later);
+    CHECK(subject.live(later).size() == 1);
+    CHECK(subject.expire(later).size() == 1);
+    CHECK(subject.expire(later).empty());
+}
+
+// Guards against a sign of life of an earlier start that keeps a dead node in the directory.
+TEST_CASE_FIXTURE(deployment_fixture, "peer_table, message of another start, is no sign of life") {
+    start(2, {"a"});
+    const auto number = node_number(nodes[1]);
+    CHECK_FALSE(tables[0]->alive({.number = number, .incarnation = 1, .beat = 9, .ready = true}, at(2000)));
+    CHECK(tables[0]->alive({.number = number, .incarnation = 1000, .beat = 9, .ready = true}, at(2000)));
+}
+
+// Guards against a node that rosters keep alive by passing the same old news around.
+TEST_CASE_FIXTURE(deployment_fixture, "peer_table, roster repeats a beat, is no news") {
+    start(60, {"a", "b", "c"});
+    auto& subject = *tables[0];
+    const auto number = node_number(nodes[1]);
+    const auto heard = subject.find(number)->heard;
+    subject.hear_roster({{.number = number, .incarnation = 1000, .beat = 1, .ready = true}}, at(3000));
+    CHECK(subject.find(number)->heard == heard);
+    subject.hear_roster({{.number = number, .incarnation = 1000, .beat = 2, .ready = true}}, at(3000));
+    CHECK(subject.find(number)->heard == at(3000));
+}
+
+// Guards against messages per node that grow with the deployment.
+TEST_CASE_FIXTURE(deployment_fixture, "peer_table, 150 nodes, cells stay small and lie in one failure domain") {
+    start(150, {"a", "b", "c", "d", "e"});
+    std::map<std::pair<std::string, std::uint32_t>, int> sizes;
+    for (const auto& table : tables) {
+        CHECK(table->own_cell().failure_domain == table->self().failure_domain);
+        ++sizes[{table->own_cell().failure_domain, table->own_cell().index}];
+    }
+    for (const auto& [cell, n] : sizes) {
+        CHECK(n >= 4);
+        CHECK(n <= 2 * static_cast<int>(peer_table::cell_size));
+    }
+    CHECK(sizes.size() == tables[0]->cell_count());
+}
+
+// Guards against upstreams that no node uses, and against nodes without upstreams when a failure domain is out.
+TEST_CASE_FIXTURE(deployment_fixture, "upstream_subset, failure domain evacuated, all upstreams and nodes are served") {
+    start(60, {"a", "b", "c"});
+    upstream_directory directory;
+    for (int i = 0; i < 90; ++i) {
+        directory.apply({.id = "u" + std::to_string(i),
+                         .service = "s",
+                         .address = "10.1.0.1:80",
+                         .failure_domain = std::string(1, static_cast<char>('a' + i % 3)),
+                         .slots = 4},
+                        millis{}, at(0));
+    }
+    for (const bool evacuated : {false, true}) {
+        directory.set_evacuated("a", evacuated, millis{}, at(0));
+        std::set<std::string> used;
+        for (const auto& table : tables) {
+            upstream_subset subject(directory, *table);
+            const auto& members = subject.of_service("s", at(1000));
+            CHECK(members.size() >= upstream_subset::fewest);
+            CHECK(members.size() <= 40);
+            for (const auto& it : members) {
+                CHECK(directory.usable(*it));
+                used.insert(it->entry.id);
+            }
+        }
+        CHECK(used.size() == (evacuated ? 60 : 90));
+    }
+}
+
+} // namespace berylcrank
