--- a/modules/berylcrank_gateway/node/node_handlers.cpp
+++ b/modules/berylcrank_gateway/node/node_handlers.cpp
@@ -117,7 +117,8 @@
                     absl::StrCat("{\"version\":", node_.routes.version(),
                                  ",\"upstreams\":", node_.upstreams.all().size(),
                                  ",\"nodes\":", node_.peers.live(now).size() + 1,
-                                 ",\"waiting\":", node_.waiting.size(), "}\n"));
+                                 ",\"waiting\":", node_.waiting.size(),
+                                 ",\"store_lost\":", follower_.store_lost() ? "true" : "false", "}\n"));
         return;
     }
     answer_not_found(it);
--- /dev/null
+++ b/standins/platform_worker/main.cpp
@@ -0,0 +1,31 @@
+#include "standins/platform_worker/worker.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <iostream>
+#include <tclap/CmdLine.h>
+
+// Stands in for a worker of the platform. Prints "listening http=ADDRESS" and runs until SIGTERM.
+int main(int argc, char** argv) {
+    using namespace berylcrank;
+    try {
+        TCLAP::CmdLine line("Worker of the platform for tests.", ' ', "1");
+        const TCLAP::ValueArg<std::string> id("", "id", "its id", true, "", "id", line);
+        const TCLAP::ValueArg<int> slots("", "slots", "requests at once", false, 4, "n", line);
+        const TCLAP::ValueArg<int> work("", "work-ms", "time of a request", false, 10, "ms", line);
+        const TCLAP::ValueArg<int> bytes("", "body-bytes", "size of a body", false, 100, "bytes", line);
+        line.parse(argc, argv);
+        boost::asio::io_context io(1);
+        const standin::worker it(io, {.id = id.getValue(),
+                                      .slots = slots.getValue(),
+                                      .work_ms = work.getValue(),
+                                      .body_bytes = static_cast<std::size_t>(bytes.getValue())});
+        boost::asio::signal_set signals(io, SIGTERM);
+        signals.async_wait([&](const auto&, int) { io.stop(); });
+        std::cout << "listening http=127.0.0.1:" << it.port() << std::endl;
+        io.run();
+        return 0;
+    } catch (const std::exception& it) {
+        std::cerr << it.what() << "\n";
+        return 1;
+    }
+}
--- /dev/null
+++ b/standins/platform_worker/worker.cpp
@@ -0,0 +1,198 @@
+#include "standins/platform_worker/worker.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+#include <array>
+#include <boost/asio/buffer.hpp>
+
+namespace berylcrank::standin {
+
+struct worker::connection {
+    explicit connection(boost::asio::ip::tcp::socket it) : socket(std::move(it)), writer(socket) {}
+
+    boost::asio::ip::tcp::socket socket;
+    socket_writer writer;
+    std::unique_ptr<request_parser> parser;
+    std::array<char, 16384> buf{};
+    bool closed{false};
+};
+
+namespace {
+
+std::string header(const request_head& head, const std::string& name) {
+    const auto* it = find_header(head.headers, name);
+    return it == nullptr ? std::string() : *it;
+}
+
+} // namespace
+
+worker::worker(boost::asio::io_context& io, worker_behaviour behaviour)
+    : io_(io), acceptor_(io, {boost::asio::ip::make_address("127.0.0.1"), 0}), behaviour_(std::move(behaviour)) {
+    accept_next();
+}
+
+void worker::accept_next() {
+    acceptor_.async_accept([this](const auto& ec, boost::asio::ip::tcp::socket socket) {
+        if (ec) {
+            return;
+        }
+        socket.non_blocking(true);
+        read(std::make_shared<connection>(std::move(socket)));
+        accept_next();
+    });
+}
+
+void worker::read(const connection_ptr& it) {
+    it->socket.async_read_some(boost::asio::buffer(it->buf), [this, it](const auto& ec, std::size_t n) {
+        if (ec) {
+            it->closed = true;
+            return;
+        }
+        if (!it->parser) {
+            it->parser = std::make_unique<request_parser>();
+        }
+        boost::beast::error_code error;
+        it->parser->feed({it->buf.data(), n}, error);
+        if (error) {
+            it->socket.close();
+            return;
+        }
+        if (it->parser->is_done()) {
+            auto head = std::move(it->parser->head);
+            it->parser.reset();
+            take(it, std::move(head));
+        }
+        read(it);
+    });
+}
+
+std::string worker::load() const {
+    return absl::StrCat(running_, ",", waiting_.size(), ",", behaviour_.slots, ",", behaviour_.slowness);
+}
+
+std::string worker::response(const request_head& head, int status, const std::string& more,
+                             const std::string& body) const {
+    return absl::StrCat("HTTP/1.1 ", status, " Status\r\nRequest-Id: ", header(head, "Request-Id"),
+                        "\r\nServer-Load: ", load(), "\r\n", more, "Content-Length: ", body.size(), "\r\n\r\n", body);
+}
+
+void worker::take(const connection_ptr& it, request_head head) {
+    if (head.target.starts_with("/control")) {
+        change(head.target);
+        send(it, response(head, 200, "", ""));
+        return;
+    }
+    if (head.target == "/runs") {
+        std::string list;
+        for (const auto& [id, n] : runs_) {
+            absl::StrAppend(&list, id, " ", n, "\n");
+        }
+        send(it, response(head, 200, "", list));
+        return;
+    }
+    const auto target = header(head, "Target-Instance");
+    if (!target.empty() && target != behaviour_.id) {
+        send(it, response(head, 421, absl::StrCat("Not-Executed: 1\r\nInstance-Id: ", behaviour_.id, "\r\n"), ""));
+        return;
+    }
+    if (head.target == "/healthz") {
+        const auto cold =
+            behaviour_.warm_up_ms > 0 ? absl::StrCat("Warmup-Ms: ", behaviour_.warm_up_ms, "\r\n") : std::string();
+        send(it, response(head, 200, absl::StrCat("Instance-Id: ", behaviour_.id, "\r\n", cold), ""));
+        return;
+    }
+    if (behaviour_.mode == "shed" || static_cast<int>(waiting_.size()) >= behaviour_.queue) {
+        send(it, response(head, 503, "Not-Executed: 1\r\n", ""));
+        return;
+    }
+    waiting_.push_back({.from = it, .head = std::move(head)});
+    start_next();
+}
+
+void worker::start_next() {
+    while (running_ < behaviour_.slots && !waiting_.empty()) {
+        const auto it = waiting_.front();
+        waiting_.pop_front();
+        if (!it.from->closed) {
+            run(it);
+        }
+    }
+}
+
+void worker::run(const job& it) {
+    ++running_;
+    ++runs_[header(it.head, "Request-Id")];
+    auto timer = std::make_shared<boost::asio::steady_timer>(
+        io_, std::chrono::milliseconds(behaviour_.work_ms * behaviour_.slowness / 100));
+    timer->async_wait([this, it, timer](const auto&) {
+        --running_;
+        finish(it);
+        start_next();
+    });
+}
+
+void worker::finish(const job& it) {
+    const std::string body(behaviour_.body_bytes, 'b');
+    const std::string signature = "Server-Signature: " + behaviour_.id + "\r\n";
+    const auto& mode = behaviour_.mode;
+    if (mode == "mute") {
+        return;
+    }
+    if (mode == "reset") {
+        it.from->socket.set_option(boost::asio::socket_base::linger(true, 0));
+        it.from->socket.close();
+        return;
+    }
+    if (mode == "error") {
+        send(it.from, response(it.head, 500, signature, "failed"));
+        return;
+    }
+    const auto good = response(it.head, 200, signature, body);
+    if (mode == "truncate") {
+        send(it.from, good.substr(0, good.size() - 10), true);
+    } else if (mode == "unframed" || mode == "unframed-reset") {
+        const auto unframed = absl::StrCat("HTTP/1.1 200 OK\r\nRequest-Id: ", header(it.head, "Request-Id"), "\r\n",
+                                           signature, "\r\n", body);
+        if (mode == "unframed-reset") {
+            it.from->socket.set_option(boost::asio::socket_base::linger(true, 0));
+        }
+        send(it.from, unframed, true);
+    } else if (mode == "extra") {
+        send(it.from, good + good);
+    } else if (mode == "late") {
+        const auto stale = "HTTP/1.1 200 OK\r\nRequest-Id: stale\r\nServer-Signature: stale\r\nContent-Length: 5\r\n\r\nstale";
+        send(it.from, stale + good);
+    } else {
+        send(it.from, good);
+    }
+}
+
+void worker::send(const connection_ptr& it, const std::string& bytes, bool close) {
+    it->writer.write(bytes, it, [it, close](bool) {
+        if (close) {
+            boost::system::error_code ec;
+            it->socket.close(ec);
+        }
+    });
+}
+
+void worker::change(const std::string& target) {
+    const auto at = target.find('?');
+    if (at == std::string::npos) {
+        return;
+    }
+    for (const absl::string_view part : absl::StrSplit(absl::string_view(target).substr(at + 1), '&')) {
+        const std::pair<std::string, std::string> pair = absl::StrSplit(part, absl::MaxSplits('=', 1));
+        int n = 0;
+        if (pair.first == "mode") {
+            behaviour_.mode = pair.second;
+        } else if (absl::SimpleAtoi(pair.second, &n)) {
+            (pair.first == "work"       ? behaviour_.work_ms
+             : pair.first == "slowness" ? behaviour_.slowness
+                                        : behaviour_.warm_up_ms) = n;
+        }
+    }
+}
+
+} // namespace berylcrank::standin
--- /dev/null
+++ b/tests/support/platform_deployment.cpp
@@ -0,0 +1,175 @@
+#include "tests/support/platform_deployment.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <doctest/doctest.h>
+#include <filesystem>
+#include <fstream>
+#include <unistd.h>
+
+namespace berylcrank::testing {
+
+namespace {
+
+// Ports that were free a moment ago; the kernel hands them out in turn.
+std::vector<int> free_ports(int n) {
+    boost::asio::io_context io;
+    std::vector<boost::asio::ip::tcp::acceptor> held;
+    std::vector<int> ports;
+    for (int i = 0; i < n; ++i) {
+        held.emplace_back(io, boost::asio::ip::tcp::endpoint{boost::asio::ip::make_address("127.0.0.1"), 0});
+        ports.push_back(held.back().local_endpoint().port());
+    }
+    return ports;
+}
+
+test_answer post(const std::string& address, const std::string& path, const std::string& body = "") {
+    return send({.address = address, .method = "POST", .path = path, .body = body});
+}
+
+std::string route(const std::string& name, const std::string& prefix, const std::string& kind, int priority) {
+    return absl::StrCat(R"({"name":")", name, R"(","path-prefix":")", prefix, R"(","kind":")", kind,
+                        R"(","timeout-s":2,"target-latency-s":0.5,"max-attempts":2,"priority":)", priority,
+                        R"(,"service":")", name, R"("},)");
+}
+
+std::string service(const std::string& name) {
+    return absl::StrCat(R"({"name":")", name,
+                        R"(","health-path":"/healthz","max-conns":200,"warmup-s":3,"warmup-per-s":5})");
+}
+
+} // namespace
+
+platform_deployment::platform_deployment(int nodes, int workers) {
+    store_ = std::make_unique<child>(std::vector<std::string>{program("standin_platform_store")});
+    store_address_ = store_->wait_listening().at("http");
+    put_operator("config", config(1));
+    for (const auto* it : {"lookups", "orders", "files"}) {
+        for (int n = 0; n < workers; ++n) {
+            start_worker(it, n);
+        }
+    }
+    for (int n = 0; n < nodes; ++n) {
+        start_node();
+    }
+    for (const auto& it : nodes_) {
+        wait_ready(it);
+    }
+}
+
+std::string platform_deployment::config(int version, const std::string& extra) {
+    auto routes = absl::StrCat(extra, route("lookups", "/l/", "safe", 2), route("orders", "/o/", "unsafe", 1),
+                               route("files", "/f/", "download", 2));
+    routes.pop_back(); // the last comma
+    return absl::StrCat(R"({"version":")", absl::Hex(version, absl::kZeroPad8), R"(","services":[)",
+                        service("lookups"), ",", service("orders"), ",", service("files"),
+                        R"(],"limits":{"max-header-bytes":16384,"max-body-bytes":1048576,"header-timeout-s":3,)",
+                        R"("idle-timeout-s":15},"virtual-hosts":[{"host":"shop.example","paths":[)", routes, "]}]}");
+}
+
+void platform_deployment::put_operator(const std::string& key, const std::string& value) {
+    REQUIRE(post(store_address_, "/put?topic=keyed.op&key=" + key, value).status == 200);
+}
+
+void platform_deployment::put_worker(const platform_worker& it, const std::string& state, int sequence) {
+    const auto value = absl::StrCat(R"({"service":")", it.service, R"(","address":")", it.address,
+                                    R"(","zone":"north","version":"v1","slots":4,"state":")", state,
+                                    R"(","warmup-left-s":0,"sequence":)", sequence, R"(,"born":1700000000000})");
+    REQUIRE(post(store_address_, "/put?topic=keyed.servers&key=" + it.id, value).status == 200);
+}
+
+void platform_deployment::remove_worker(const platform_worker& it) {
+    REQUIRE(post(store_address_, "/put?topic=keyed.servers&key=" + it.id).status == 200);
+}
+
+void platform_deployment::store_fault(const std::string& outage) {
+    REQUIRE(post(store_address_, "/control?outage=" + outage).status == 200);
+}
+
+void platform_deployment::forget_history(const std::string& topic) {
+    REQUIRE(post(store_address_, "/control?trim=" + topic).status == 200);
+}
+
+int platform_deployment::store_calls() const {
+    return std::stoi(send({.address = store_address_, .path = "/calls"}).body);
+}
+
+void platform_deployment::behave(const platform_worker& it, const std::string& wish) {
+    REQUIRE(post(it.address, "/control?" + wish).status == 200);
+}
+
+int platform_deployment::runs(const std::string& id) {
+    int n = 0;
+    for (const auto& it : workers_) {
+        const auto list = send({.address = it.address, .path = "/runs"}).body;
+        for (const absl::string_view line : absl::StrSplit(list, '\n', absl::SkipEmpty())) {
+            const std::pair<std::string, std::string> pair = absl::StrSplit(line, ' ');
+            n += pair.first == id ? std::stoi(pair.second) : 0;
+        }
+    }
+    return n;
+}
+
+void platform_deployment::start_worker(const std::string& service, int n) {
+    platform_worker it{.id = absl::StrCat("i-", service, n), .service = service};
+    it.process = std::make_unique<child>(std::vector<std::string>{
+        program("standin_platform_worker"), "--id", it.id, "--body-bytes", service == "files" ? "400000" : "100"});
+    it.address = it.process->wait_listening().at("http");
+    put_worker(it, "ready", 1);
+    workers_.push_back(std::move(it));
+}
+
+platform_node& platform_deployment::start_node() {
+    const auto ports = free_ports(5);
+    const auto at = [&](std::size_t n) { return absl::StrCat("127.0.0.1:", ports[n]); };
+    platform_node it{.name = absl::StrCat("front-", ++started_),
+                     .front = at(0),
+                     .ready = at(1),
+                     .directory = at(2),
+                     .control = at(3)};
+    it.settings_path = std::filesystem::temp_directory_path() /
+                       absl::StrCat("berylcrank-", getpid(), "-", it.name, ".conf");
+    std::ofstream(it.settings_path)
+        << "node-name=" << it.name << "\nip=127.0.0.1\nzone=north\ninternal-ports=" << ports[4] << "," << ports[4]
+        << "\nlisten.front=" << it.front << "\nlisten.ready=" << it.ready << "\nlisten.directory=" << it.directory
+        << "\nlisten.control=" << it.control << "\nplatform.address=" << store_address_
+        << "\nbounds=grace-s=6,retry-budget-ratio=0.2,retry-budget-burst=60,warmup-factor=1.5,warmup-slack=5\n";
+    it.process = std::make_unique<child>(
+        std::vector<std::string>{program("berylcrank"), "gateway", "--settings", it.settings_path});
+    nodes_.push_back(std::move(it));
+    return nodes_.back();
+}
+
+void platform_deployment::stop_and_remove(std::size_t n) {
+    nodes_.erase(nodes_.begin() + static_cast<std::ptrdiff_t>(n));
+}
+
+test_answer platform_deployment::request(const platform_node& node, const std::string& method,
+                                         const std::string& path, const std::string& id, const std::string& body) {
+    return send({.address = node.front,
+                 .method = method,
+                 .path = path,
+                 .headers = {{"Host", "shop.example"}, {"Request-Id", id}, {"Request-Timeout-Ms", "1500"}},
+                 .body = body});
+}
+
+void platform_deployment::wait_ready(const platform_node& it) {
+    wait_until(it.name + " is ready", [&] {
+        const auto answer = send({.address = it.ready, .path = "/api/readyz"});
+        return answer.is_whole && answer.status == 200;
+    });
+}
+
+std::vector<platform_worker*> platform_deployment::workers_of(const std::string& service) {
+    std::vector<platform_worker*> result;
+    for (auto& it : workers_) {
+        if (it.service == service) {
+            result.push_back(&it);
+        }
+    }
+    return result;
+}
+
+} // namespace berylcrank::testing
