--- /dev/null
+++ b/tests/adapter/platform_test.cpp
@@ -0,0 +1,135 @@
+#include "platform/platform_adapter.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <doctest/doctest.h>
+#include <optional>
+
+namespace berylcrank {
+
+namespace {
+
+
+struct json_wire_fixture {
+    json_wire subject;
+
+    std::optional<upstream_entry> upstream(const std::string& text) {
+        return boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<std::optional<upstream_entry>> {
+                BOOST_LEAF_AUTO(it, subject.read_upstream("i-1", text));
+                return std::optional<upstream_entry>(it);
+            },
+            [] { return std::optional<upstream_entry>(); });
+    }
+
+    std::optional<service_config> config(const std::string& text) {
+        return boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<std::optional<service_config>> {
+                BOOST_LEAF_AUTO(it, subject.read_config(text));
+                return std::optional<service_config>(std::move(it));
+            },
+            [] { return std::optional<service_config>(); });
+    }
+};
+
+const std::string good_entry = R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":6,)"
+                               R"("state":"ready","warmup-left-s":1.5,"sequence":4,"born":1700000000123})";
+
+std::string changed(std::string text, const std::string& from, const std::string& to) {
+    text.replace(text.find(from), from.size(), to);
+    return text;
+}
+
+} // namespace
+
+// Guards against times in the wrong unit and fields read by their name alone.
+TEST_CASE_FIXTURE(json_wire_fixture, "json_wire, registration of an upstream, is read with its units") {
+    const auto it = upstream(good_entry);
+    REQUIRE(it);
+    CHECK(it->id == "i-1");
+    CHECK(it->cold_left == millis{1500});
+    CHECK(it->slots == 6);
+    CHECK(it->born == 1700000000123);
+    CHECK_FALSE(it->draining);
+    CHECK(upstream(changed(good_entry, "ready", "draining"))->draining);
+}
+
+// Guards against a registration of another writer that names an upstream to use.
+TEST_CASE_FIXTURE(json_wire_fixture, "json_wire, registration with a field missing or wrong, is refused") {
+    for (const auto* text : {"", "{", "[]", "7", "{}"}) {
+        CHECK_FALSE(upstream(text));
+    }
+    CHECK_FALSE(upstream(changed(good_entry, R"("slots":6)", R"("slots":"6")")));
+    CHECK_FALSE(upstream(changed(good_entry, R"("slots":6,)", "")));
+    CHECK_FALSE(upstream(changed(good_entry, R"("ready")", R"("asleep")")));
+    CHECK_FALSE(upstream(changed(good_entry, R"("10.0.0.1:80")", R"("nowhere")")));
+    CHECK_FALSE(upstream(changed(good_entry, R"(1700000000123)", R"("today")")));
+    CHECK_FALSE(upstream(changed(good_entry, R"("sequence":4)", R"("sequence":4.5)")));
+}
+
+// Guards against routes, splits or limits that are read with the wrong meaning.
+TEST_CASE_FIXTURE(json_wire_fixture, "json_wire, configuration, is read whole") {
+    const auto it = config(
+        R"({"version":"0000001f","services":[{"name":"s","health-path":"/h","max-conns":9,"warmup-s":3.0,)"
+        R"("warmup-per-s":5.1}],"limits":{"max-header-bytes":100,"max-body-bytes":200,"header-timeout-s":3,)"
+        R"("idle-timeout-s":15},"virtual-hosts":[{"host":"a.example","paths":[{"name":"r","path-prefix":"/p/",)"
+        R"("kind":"unsafe","timeout-s":0.8,"target-latency-s":0.25,"priority":1,"max-attempts":2,)"
+        R"("traffic-split":[{"service":"s","weight":90},{"service":"t","weight":10}]}]}]})");
+    REQUIRE(it);
+    CHECK(it->version == 31);
+    const auto& route = it->routes.at(0);
+    CHECK(route.rule == repeat_rule::unsafe);
+    CHECK(route.time_limit == millis{800});
+    CHECK(route.latency_target == millis{250});
+    CHECK(route.parts.at(1).weight == 10);
+    CHECK(it->services.at(0).warm_up_per_second == doctest::Approx(5.1));
+    CHECK(it->limits.idle_timeout == millis{15000});
+}
+
+// Guards against half a configuration in force.
+TEST_CASE_FIXTURE(json_wire_fixture, "json_wire, configuration with a fault, is refused whole") {
+    CHECK_FALSE(config(R"({"version":"xyz","services":[],"virtual-hosts":[]})"));
+    CHECK_FALSE(config(R"({"version":"00000001","services":[]})"));
+    CHECK_FALSE(config(R"({"version":"00000001","services":[],"virtual-hosts":[{"host":"a","paths":[{"name":"r",)"
+                       R"("path-prefix":"/","kind":"maybe","service":"s"}]}]})"));
+}
+
+// Guards against a load header of another shape being taken for an idle upstream.
+TEST_CASE_FIXTURE(json_wire_fixture, "json_wire, load header, is read with and without the fourth figure") {
+    CHECK(subject.read_load("3,0,8")->slowness == doctest::Approx(1));
+    CHECK(subject.read_load("3,1,8,400")->slowness == doctest::Approx(4));
+    CHECK(subject.read_load("3,1,8,400")->waiting == 1);
+    for (const auto* text : {"", "3", "3,0", "a,b,c", "3,0,8,x"}) {
+        CHECK_FALSE(subject.read_load(text));
+    }
+}
+
+// Guards against a settings file that is misread or whose faults are passed over.
+TEST_CASE("settings file, fields of the platform, are translated; missing ones are an error") {
+    const auto read = [](const std::string& text) {
+        return boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<std::optional<platform_settings>> {
+                BOOST_LEAF_AUTO(it, read_settings_text(text));
+                return std::optional<platform_settings>(it);
+            },
+            [] { return std::optional<platform_settings>(); });
+    };
+    const std::string text = "node-name=n1\nip=10.0.0.1\nzone=north\ninternal-ports=7540,7555\nlisten.front=10.0.0.1:80\n"
+                             "seeds=10.0.0.2:81,10.0.0.3:81\nlimits.cpu-share=0.2\nlimits.cpu-cores=1\nunknown=1\n"
+                             "bounds=grace-s=5,budget-window-s=8,retry-budget-burst=62,ttl_max_s=1\n"
+                             "platform.address=10.9.0.1:80\n";
+    const auto it = read(text);
+    REQUIRE(it);
+    CHECK(it->gateway.self.gossip_port == 7540);
+    CHECK(it->gateway.self.capacity == 200);
+    CHECK(it->gateway.grace == millis{5000});
+    CHECK(it->gateway.resends.window == millis{8000});
+    CHECK(it->gateway.resends.burst == doctest::Approx(62));
+    CHECK(it->gateway.address_ttl == millis{1000});
+    CHECK(it->gateway.seed_ips == std::vector<std::string>{"10.0.0.2", "10.0.0.3"});
+    CHECK(it->store_address == "10.9.0.1:80");
+    CHECK_FALSE(read(""));
+    CHECK_FALSE(read(changed(text, "platform.address=10.9.0.1:80\n", "")));
+    CHECK_FALSE(read(changed(text, "internal-ports=7540,7555\n", "")));
+}
+
+} // namespace berylcrank
