Read the store with few calls when a large deployment starts; rosters stay in their failure domain

Change: a new node waits for the list of nodes and its place among them before it reads; only the first node of a cell sends rosters to other failure domains.

--- a/modules/berylcrank_balance/peers/peer_table.cpp
+++ b/modules/berylcrank_balance/peers/peer_table.cpp
@@ -226,6 +226,11 @@
     }));
 }
 
+std::size_t peer_table::rank_among_known() const {
+    return static_cast<std::size_t>(
+        std::count_if(peers_.begin(), peers_.end(), [&](const auto& it) { return precedes(it.second); }));
+}
+
 std::size_t peer_table::rank_in_cell(instant now) const {
     return static_cast<std::size_t>(std::count_if(peers_.begin(), peers_.end(), [&](const auto& it) {
         return relation(it.second) == peer_relation::same_cell && is_live(it.second, now) && precedes(it.second);
--- a/modules/berylcrank_balance/peers/peer_table.h
+++ b/modules/berylcrank_balance/peers/peer_table.h
@@ -73,10 +73,10 @@
     /** Nodes of a cell in a large deployment, about. */
     static constexpr std::size_t cell_size = 14;
     /** Silence after which a node no longer counts as live. Messages in a cell come every 50 to 100 ms, greetings in
-        a failure domain every 500 ms, rosters take some 700 ms a hop. */
+        a failure domain every 500 ms, rosters take some 700 ms a hop and six hops. */
     static constexpr millis silence_in_cell{700};
     static constexpr millis silence_in_domain{1700};
-    static constexpr millis silence_distant{5000};
+    static constexpr millis silence_distant{9000};
     /** Time after which an address that never answered is given up. */
     static constexpr millis unheard{10000};
     /** Time after which a silent node is forgotten. */
@@ -122,6 +122,8 @@
 
     /** Place of this node among the live ones, largest capacity first; 0 is the first. */
     [[nodiscard]] std::size_t rank(instant now) const;
+    /** The same among all known nodes, whether they were heard or not: for a node that has just started. */
+    [[nodiscard]] std::size_t rank_among_known() const;
     /** The same among the live nodes of its cell. */
     [[nodiscard]] std::size_t rank_in_cell(instant now) const;
 
--- a/modules/berylcrank_gateway/node/gateway_node.cpp
+++ b/modules/berylcrank_gateway/node/gateway_node.cpp
@@ -11,7 +11,9 @@
 constexpr millis pause_noticed{1500};      // a longer gap between ticks is reported as a pause of the process
 constexpr millis pull_limit{600};          // for a question to another node
 constexpr std::size_t max_state = 64U << 20U; // bytes of an answer with records
-constexpr std::size_t roster_fanout = 2;   // nodes that a roster goes to
+constexpr std::size_t near_fanout = 2;     // nodes of the own failure domain that a roster goes to
+constexpr std::size_t distant_fanout = 3;  // nodes of others that the first node of a cell sends its roster to
+constexpr millis list_patience{1500};      // for which a new node waits for the list of nodes before it reads records
 constexpr std::size_t cell_fetchers = 2;   // nodes of a cell that fetch records from outside it at once
 constexpr millis cell_patience{250};       // for which the others wait for them
 constexpr std::size_t known_in_hello = 8;  // addresses of other nodes in a message
@@ -30,7 +32,7 @@
       peer_calls_(io, time, max_state),
       gossip_(io, options.self.ip, options.self.gossip_port, time, [this](const node_message& it) { hear(it); }),
       ready_handler_(node_, [this] { return ready(); }), directory_handler_(node_, [this] { return ready(); }),
-      state_handler_(node_, follower_), control_handler_(node_, follower_), timer_(io), last_tick_(time.now()) {
+      state_handler_(node_, follower_), control_handler_(node_, follower_), timer_(io), started_(time.now()), last_tick_(started_) {
     const auto listen = [&](const std::string& address, request_handler& handler) -> http_listener* {
         if (address.empty()) {
             return nullptr;
@@ -76,7 +78,11 @@
     last_tick_ = now;
     gossip_.poll();
     announce();
-    follower_.tick(node_.peers.rank(now), now);
+    if (follower_.complete()) {
+        follower_.tick(node_.peers.rank(now), now);
+    } else if (listed_ || now - started_ > list_patience) {
+        follower_.tick(node_.peers.rank_among_known(), now);
+    }
     node_.upstreams.expire(now);
     exchange_messages(now);
     pull_if_due(now);
@@ -262,10 +268,18 @@
     it.has_marks = true;
     it.self = node_.peers.self();
     it.roster = node_.peers.roster(now);
-    auto all = node_.peers.all();
+    std::vector<const peer*> near;
+    std::vector<const peer*> distant;
+    for (const auto* peer : node_.peers.live(now)) {
+        (node_.peers.relation(*peer) == peer_relation::distant ? distant : near).push_back(peer);
+    }
     std::vector<const peer*> to;
-    for (std::size_t i = 0; i < roster_fanout && !all.empty(); ++i) {
-        to.push_back(all[node_.random.below(all.size())]);
+    for (std::size_t i = 0; i < near_fanout && !near.empty(); ++i) {
+        to.push_back(near[node_.random.below(near.size())]);
+    }
+    const bool first = node_.peers.rank_in_cell(now) == 0;
+    for (std::size_t i = 0; first && i < distant_fanout && !distant.empty(); ++i) {
+        to.push_back(distant[node_.random.below(distant.size())]);
     }
     send_to(it, to, now);
 }
--- a/modules/berylcrank_gateway/node/gateway_node.h
+++ b/modules/berylcrank_gateway/node/gateway_node.h
@@ -75,6 +75,7 @@
     std::vector<std::unique_ptr<http_listener>> listeners_;
     http_listener* front_{nullptr};
     boost::asio::steady_timer timer_;
+    instant started_;
     instant next_message_;
     instant next_hello_;
     instant next_roster_;
--- a/modules/berylcrank_gateway/state/state_follower.cpp
+++ b/modules/berylcrank_gateway/state/state_follower.cpp
@@ -47,7 +47,7 @@
     }
     const auto place = options_.rank_step * static_cast<double>(std::min<std::size_t>(rank, options_.ranks));
     if (!it.book.complete()) {
-        return now - started_ >= place;
+        return now - started_ >= options_.first_read + place;
     }
     if (source == record_source::operators) {
         return rank == 0 || now - it.book.confirmed() >= options_.operators_wait + place;
