Deflate records between nodes and spread their fetching; let blind nodes not hold the reader's place

Ruled out: the store (acked, read at once). Change: answers with records are deflated, nodes of a cell fetch spread over 150 ms from whoever has them, a new node fetches from near; nodes say whether they can read the store, and a place counts only those that can; in an outage later places try more rarely.

--- a/modules/berylcrank_balance/peers/peer_table.cpp
+++ b/modules/berylcrank_balance/peers/peer_table.cpp
@@ -34,7 +34,7 @@
     return true;
 }
 
-bool peer_table::heard(const node_info& it, bool ready, std::uint32_t beat, instant now) {
+bool peer_table::heard(const node_info& it, const roster_entry& state, instant now) {
     const auto number = node_number(it);
     if (number == self_number_) {
         return false;
@@ -42,7 +42,13 @@
     auto& held = peers_[number];
     const bool fresh = !held.ever_heard || held.info.incarnation != it.incarnation;
     const bool regroups = held.info.failure_domain != it.failure_domain || held.number == 0;
-    held = {.info = it, .number = number, .added = held.added, .heard = now, .beat = beat, .ready = ready,
+    held = {.info = it,
+            .number = number,
+            .added = held.added,
+            .heard = now,
+            .beat = state.beat,
+            .ready = state.ready,
+            .blind = state.blind,
             .ever_heard = true};
     if (regroups) {
         regroup();
@@ -59,6 +65,7 @@
     held.heard = now;
     held.ever_heard = true;
     held.ready = it.ready;
+    held.blind = it.blind;
     held.beat = it.beat;
     return true;
 }
@@ -82,7 +89,8 @@
     for (const auto& [number, it] : peers_) {
         if (is_live(it, now)) {
             result.push_back(
-                {.number = number, .incarnation = it.info.incarnation, .beat = it.beat, .ready = it.ready});
+                {.number = number, .incarnation = it.info.incarnation, .beat = it.beat, .ready = it.ready,
+                 .blind = it.blind});
         }
     }
     return result;
@@ -220,9 +228,10 @@
     return it.info.capacity != self_.capacity ? it.info.capacity > self_.capacity : it.number < self_number_;
 }
 
-std::size_t peer_table::rank(instant now) const {
+std::size_t peer_table::reader_rank(bool blind, instant now) const {
     return static_cast<std::size_t>(std::count_if(peers_.begin(), peers_.end(), [&](const auto& it) {
-        return is_live(it.second, now) && precedes(it.second);
+        return is_live(it.second, now) && (blind ? precedes(it.second) || !it.second.blind
+                                                 : precedes(it.second) && !it.second.blind);
     }));
 }
 
--- a/modules/berylcrank_balance/peers/peer_table.h
+++ b/modules/berylcrank_balance/peers/peer_table.h
@@ -46,6 +46,7 @@
     std::uint64_t incarnation{0};
     std::uint32_t beat{0}; ///< Grows while the node runs.
     bool ready{false};
+    bool blind{false};     ///< Cannot read the store.
 };
 
 /** Another node, as far as messages tell. */
@@ -56,6 +57,7 @@
     instant heard;          ///< When news of it arrived last, of its own or in a roster.
     std::uint32_t beat{0};
     bool ready{false};      ///< Accepts callers.
+    bool blind{false};      ///< Cannot read the store.
     bool ever_heard{false};
 };
 
@@ -91,7 +93,7 @@
     bool learn(const node_info& it, instant now);
 
     /** Takes a node's own word about itself. Returns true if it is a new node or a new start. */
-    bool heard(const node_info& it, bool ready, std::uint32_t beat, instant now);
+    bool heard(const node_info& it, const roster_entry& state, instant now);
 
     /** Takes a sign of life of a known node; false if the number or the start is unknown. */
     bool alive(const roster_entry& it, instant now);
@@ -120,8 +122,9 @@
     /** Number of cells. */
     [[nodiscard]] std::size_t cell_count() const;
 
-    /** Place of this node among the live ones, largest capacity first; 0 is the first. */
-    [[nodiscard]] std::size_t rank(instant now) const;
+    /** Place of this node among the live ones that can read the store, or among all live ones if it cannot itself;
+        largest capacity first; 0 is the first. */
+    [[nodiscard]] std::size_t reader_rank(bool blind, instant now) const;
     /** The same among all known nodes, whether they were heard or not: for a node that has just started. */
     [[nodiscard]] std::size_t rank_among_known() const;
     /** The same among the live nodes of its cell. */
--- a/modules/berylcrank_gateway/node/gateway_node.cpp
+++ b/modules/berylcrank_gateway/node/gateway_node.cpp
@@ -11,10 +11,12 @@
 constexpr millis pause_noticed{1500};      // a longer gap between ticks is reported as a pause of the process
 constexpr millis pull_limit{600};          // for a question to another node
 constexpr std::size_t max_state = 64U << 20U; // bytes of an answer with records
+constexpr std::size_t greeted_distant = 5; // nodes of other failure domains that a new node greets
 constexpr std::size_t near_fanout = 2;     // nodes of the own failure domain that a roster goes to
 constexpr std::size_t distant_fanout = 3;  // nodes of others that the first node of a cell sends its roster to
 constexpr millis list_patience{1500};      // for which a new node waits for the list of nodes before it reads records
 constexpr std::size_t cell_fetchers = 2;   // nodes of a cell that fetch records from outside it at once
+constexpr millis cell_spread{150};         // over which the nodes of a cell fetch from each other
 constexpr millis cell_patience{250};       // for which the others wait for them
 constexpr std::size_t known_in_hello = 8;  // addresses of other nodes in a message
 constexpr millis first_announce_retry{300};
@@ -79,7 +81,7 @@
     gossip_.poll();
     announce();
     if (follower_.complete()) {
-        follower_.tick(node_.peers.rank(now), now);
+        follower_.tick(node_.peers.reader_rank(follower_.store_lost(), now), now);
     } else if (listed_ || now - started_ > list_patience) {
         follower_.tick(node_.peers.rank_among_known(), now);
     }
@@ -128,11 +130,21 @@
     store_.list_nodes([this, retry](store_outcome outcome, const std::vector<node_info>& nodes) {
         listed_ = outcome == store_outcome::ok;
         retry(outcome);
+        std::vector<const node_info*> distant;
         for (const auto& it : nodes) {
-            if (node_.peers.learn(it, time_.now())) {
+            if (!node_.peers.learn(it, time_.now())) {
+                continue;
+            }
+            if (it.failure_domain == node_.peers.self().failure_domain ||
+                nodes.size() <= peer_table::single_cell_limit) {
                 greet(it, true);
+            } else {
+                distant.push_back(&it);
             }
         }
+        for (std::size_t i = 0; i < greeted_distant && !distant.empty(); ++i) {
+            greet(*distant[node_.random.below(distant.size())], true); // the others learn of it from rosters
+        }
     });
 }
 
@@ -141,7 +153,8 @@
             .incarnation = node_.peers.self().incarnation,
             .ready = ready(),
             .marks = follower_.marks(now),
-            .beat = beat_};
+            .beat = beat_,
+            .blind = follower_.store_lost()};
 }
 
 void gateway_node::greet(const node_info& it, bool asks) {
@@ -252,8 +265,7 @@
     it.self = node_.peers.self();
     std::vector<const peer*> to;
     for (const auto* peer : node_.peers.all()) {
-        const bool near = node_.peers.relation(*peer) != peer_relation::distant;
-        if (near || !peer->ever_heard) {
+        if (node_.peers.relation(*peer) != peer_relation::distant) {
             to.push_back(peer);
         }
         if (it.known.size() < known_in_hello && node_.peers.is_live(*peer, now)) {
@@ -289,12 +301,16 @@
     if (it.node == node_.peers.self_number()) {
         return;
     }
+    const roster_entry state{.number = it.node,
+                             .incarnation = it.incarnation,
+                             .beat = it.beat,
+                             .ready = it.ready,
+                             .blind = it.blind};
     if (it.self) {
-        if (node_.peers.heard(*it.self, it.ready, it.beat, now)) {
+        if (node_.peers.heard(*it.self, state, now)) {
             log_.line("peer-heard").field("peer", it.self->name).field("incarnation", it.self->incarnation).send();
         }
-    } else if (!node_.peers.alive(
-                   {.number = it.node, .incarnation = it.incarnation, .beat = it.beat, .ready = it.ready}, now)) {
+    } else if (!node_.peers.alive(state, now)) {
         return; // its address follows with its next hello
     }
     node_.peers.hear_roster(it.roster, now);
@@ -319,9 +335,13 @@
             behind_since_ = now;
         }
         behind_peer_ = it.node;
-        // One or two nodes of a cell fetch from afar, the others from them.
-        if (node_.peers.relation(from) == peer_relation::same_cell || node_.peers.rank_in_cell(now) < cell_fetchers) {
+        // One or two nodes of a cell fetch from afar, the others from them; a new node fetches from near.
+        const bool fetches = follower_.complete() && node_.peers.rank_in_cell(now) < cell_fetchers;
+        if (fetches || !node_.peers.many_cells()) {
             pull(from, now);
+        } else if (node_.peers.relation(from) == peer_relation::same_cell) {
+            // Not all at once from the node that has it first: the others have it soon.
+            behind_since_ = std::min(behind_since_, now - cell_patience + cell_spread * node_.random.unit());
         }
     }
 }
--- a/modules/berylcrank_gateway/peers/node_message.cpp
+++ b/modules/berylcrank_gateway/peers/node_message.cpp
@@ -3,13 +3,17 @@
 #include <algorithm>
 #include <capnp/message.h>
 #include <capnp/serialize-packed.h>
+#include <cstring>
 #include <fleet.capnp.h>
 #include <kj/io.h>
+#include <zlib.h>
 
 namespace berylcrank {
 
 namespace {
 
+constexpr std::uint32_t max_inflated = 64U << 20U; // bytes of a state answer
+constexpr std::size_t size_bytes = 4;
 constexpr std::uint64_t traversal_words = 8U << 20U; // bounds what a hostile message may make us read
 
 template <typename Number>
@@ -24,6 +28,39 @@
     return {bytes.begin(), bytes.size()};
 }
 
+// Deflated bytes behind their inflated size: a configuration of a thousand routes takes a seventh on a small link.
+std::string deflated(const std::string& bytes) {
+    uLongf n = compressBound(bytes.size());
+    std::string result(size_bytes + n, '\0');
+    const auto size = static_cast<std::uint32_t>(bytes.size());
+    std::memcpy(result.data(), &size, size_bytes);
+    if (compress2(reinterpret_cast<Bytef*>(result.data() + size_bytes), &n,
+                  reinterpret_cast<const Bytef*>(bytes.data()), bytes.size(), Z_BEST_SPEED) != Z_OK) {
+        return {}; // an answer that the other node cannot read and asks for again
+    }
+    result.resize(size_bytes + n);
+    return result;
+}
+
+std::optional<std::string> inflated(std::string_view bytes) {
+    std::uint32_t size = 0;
+    if (bytes.size() < size_bytes) {
+        return std::nullopt;
+    }
+    std::memcpy(&size, bytes.data(), size_bytes);
+    if (size > max_inflated) {
+        return std::nullopt;
+    }
+    std::string result(size, '\0');
+    uLongf n = size;
+    if (uncompress(reinterpret_cast<Bytef*>(result.data()), &n,
+                   reinterpret_cast<const Bytef*>(bytes.data() + size_bytes), bytes.size() - size_bytes) != Z_OK ||
+        n != size) {
+        return std::nullopt;
+    }
+    return result;
+}
+
 template <typename Reader, typename Read>
 bool unpack(std::string_view bytes, Read read) {
     try {
@@ -61,6 +98,7 @@
     to.setIncarnation(it.incarnation);
     to.setBeat(it.beat);
     to.setReady(it.ready);
+    to.setBlind(it.blind);
 }
 
 void write(schema::StateMark::Builder to, const state_mark& it) {
@@ -118,7 +156,8 @@
                         .incarnation = it.getIncarnation(),
                         .ready = it.getReady(),
                         .asks_self = it.getAsksSelf(),
-                        .beat = it.getBeat()};
+                        .beat = it.getBeat(),
+                        .blind = it.getBlind()};
     result.has_marks = it.getMarks().size() > 0;
     for (std::size_t i = 0; i < std::min<std::size_t>(record_source_count, it.getMarks().size()); ++i) {
         result.marks[i] = read_mark(it.getMarks()[static_cast<unsigned>(i)]);
@@ -136,7 +175,8 @@
         result.roster.push_back({.number = entry.getNode(),
                                  .incarnation = entry.getIncarnation(),
                                  .beat = entry.getBeat(),
-                                 .ready = entry.getReady()});
+                                 .ready = entry.getReady(),
+                                 .blind = entry.getBlind()});
     }
     for (const auto info : it.getKnown()) {
         result.known.push_back(read_info(info));
@@ -154,6 +194,7 @@
     to.setReady(it.ready);
     to.setAsksSelf(it.asks_self);
     to.setBeat(it.beat);
+    to.setBlind(it.blind);
     if (it.has_marks) {
         auto marks = to.initMarks(record_source_count);
         for (unsigned i = 0; i < record_source_count; ++i) {
@@ -204,12 +245,16 @@
                 kj::arrayPtr(reinterpret_cast<const kj::byte*>(record.value.data()), record.value.size()));
         }
     }
-    return packed(message);
+    return deflated(packed(message));
 }
 
 std::optional<state_answer> decode_state(std::string_view bytes) {
     std::optional<state_answer> result;
-    unpack<schema::StateAnswer>(bytes, [&](schema::StateAnswer::Reader it) {
+    const auto message = inflated(bytes);
+    if (!message) {
+        return result;
+    }
+    unpack<schema::StateAnswer>(*message, [&](schema::StateAnswer::Reader it) {
         state_answer answer;
         for (std::size_t i = 0; i < std::min<std::size_t>(record_source_count, it.getRuns().size()); ++i) {
             const auto run = it.getRuns()[static_cast<unsigned>(i)];
--- a/modules/berylcrank_gateway/peers/node_message.h
+++ b/modules/berylcrank_gateway/peers/node_message.h
@@ -44,6 +44,7 @@
     std::vector<node_info> known;
     bool asks_self{false};
     std::uint32_t beat{0};
+    bool blind{false}; ///< The sender cannot read the store.
     std::vector<roster_entry> roster;
 };
 
--- a/modules/berylcrank_gateway/state/state_follower.cpp
+++ b/modules/berylcrank_gateway/state/state_follower.cpp
@@ -45,7 +45,12 @@
     if (it.reading || now < it.next_try) {
         return false;
     }
-    const auto place = options_.rank_step * static_cast<double>(std::min<std::size_t>(rank, options_.ranks));
+    const auto ranks = static_cast<std::size_t>(options_.ranks);
+    const auto place = options_.rank_step * static_cast<double>(std::min(rank, ranks)) +
+                       options_.late_rank_step * static_cast<double>(rank - std::min(rank, ranks));
+    if (it.retry > millis{} && now < it.next_try + place) {
+        return false; // the store failed: the later a node's place, the rarer it tries
+    }
     if (!it.book.complete()) {
         return now - started_ >= options_.first_read + place;
     }
--- a/modules/berylcrank_gateway/state/state_follower.h
+++ b/modules/berylcrank_gateway/state/state_follower.h
@@ -17,7 +17,8 @@
     millis upstreams_interval{450};///< Age of the upstreams' records at which the first node reads them again.
     millis first_read{150};        ///< For which a new node waits for the records of another node.
     millis rank_step{350};         ///< Added per place in the order of the nodes, up to `ranks`.
-    int ranks{4};                  ///< Places after which the delay no longer grows.
+    int ranks{4};                  ///< Places of which one can usually read the store.
+    millis late_rank_step{150};    ///< Added per place beyond: an outage of the store must not make all nodes call it.
     millis first_retry{250};       ///< Pause after a failed read; doubles.
     millis longest_retry{1200};
     millis message_delay{20};      ///< Taken off what another node vouches for: its message was on the way.
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -20,6 +20,7 @@
   incarnation @1 :UInt64;
   beat @2 :UInt32;
   ready @3 :Bool;
+  blind @4 :Bool;
 }
 
 struct LoadNews {
@@ -75,6 +76,8 @@
   beat @9 :UInt32;
   # Grows while the sender runs.
   roster @10 :List(RosterEntry);
+  blind @11 :Bool;
+  # The sender cannot read the store.
 }
 
 struct Record {
--- a/tests/balance/peers_test.cpp
+++ b/tests/balance/peers_test.cpp
@@ -39,7 +39,7 @@
 
     void hear_all(peer_table& table, instant now) {
         for (const auto& it : nodes) {
-            table.heard(it, true, 1, now);
+            table.heard(it, {.beat = 1, .ready = true}, now);
         }
         table.expire(now);
     }
@@ -59,17 +59,35 @@
     }
     std::set<std::size_t> ranks;
     for (const auto& table : tables) {
-        ranks.insert(table->rank(at(1100)));
+        ranks.insert(table->reader_rank(false, at(1100)));
     }
     CHECK(ranks.size() == 13);
 }
 
+// Guards against records that are read late because the first nodes in order cannot reach the store.
+TEST_CASE_FIXTURE(deployment_fixture, "peer_table, some nodes cannot read the store, the first that can has rank 0") {
+    start(5, {"a"});
+    std::size_t first = 0;
+    while (tables[first]->reader_rank(false, at(1100)) != 0) {
+        ++first;
+    }
+    for (auto& table : tables) {
+        table->alive({.number = node_number(nodes[first]), .incarnation = 1000, .beat = 2, .blind = true}, at(1100));
+    }
+    std::size_t readers = 0;
+    for (std::size_t i = 0; i < tables.size(); ++i) {
+        readers += i != first && tables[i]->reader_rank(false, at(1200)) == 0 ? 1 : 0;
+    }
+    CHECK(readers == 1);
+    CHECK(tables[first]->reader_rank(true, at(1200)) == 4);
+}
+
 // Guards against callers that are sent to a node which is silent.
 TEST_CASE_FIXTURE(deployment_fixture, "peer_table, node turns silent, is no longer live and is reported once") {
     start(3, {"a"});
     auto& subject = *tables[0];
     const auto later = at(1000) + peer_table::silence_in_cell;
-    subject.heard(nodes[1], true, 2, later);
+    subject.heard(nodes[1], {.beat = 2, .ready = true}, later);
     CHECK(subject.live(later).size() == 1);
     CHECK(subject.expire(later).size() == 1);
     CHECK(subject.expire(later).empty());
--- a/tests/gateway/message_test.cpp
+++ b/tests/gateway/message_test.cpp
@@ -94,6 +94,28 @@
     CHECK(read->roster.at(0).beat == 5);
 }
 
+// Guards against records that change on their way between nodes, and against answers that are too large for small links.
+TEST_CASE("state_answer, a thousand routes, survives encoding and is small") {
+    state_answer it;
+    std::string routes;
+    for (int n = 0; n < 1000; ++n) {
+        routes += "{\"name\":\"r-" + std::to_string(n * 7919) + "\",\"kind\":\"safe\",\"timeout-s\":1.2,\"max-attempts\":2},";
+    }
+    it[0].mark = {.complete = true, .end = 12, .changed = 12};
+    it[0].records.push_back({.key = "config", .offset = 11, .value = routes});
+    it[1].records.push_back({.key = "u", .offset = 3, .removed = true});
+    const auto bytes = encode(it);
+    CHECK(bytes.size() * 4 < routes.size());
+    const auto read = decode_state(bytes);
+    REQUIRE(read);
+    CHECK((*read)[0].records.at(0).value == routes);
+    CHECK((*read)[0].mark.end == 12);
+    CHECK((*read)[1].records.at(0).removed);
+    for (std::size_t n = 0; n < bytes.size(); n += 97) {
+        CHECK_FALSE(decode_state(std::string_view(bytes).substr(0, n)));
+    }
+}
+
 // Guards against a process that ends because of a datagram from somebody else.
 TEST_CASE("node_message, bytes of another protocol, gives nothing") {
     for (const auto* bytes : {"", "x", "GET / HTTP/1.1\r\n\r\n", "\xff\xff\xff\xff\xff\xff\xff\xff\xff"}) {
