--- a/modules/berylcrank_balance/admission/admission_rule.cpp
+++ b/modules/berylcrank_balance/admission/admission_rule.cpp
@@ -15,8 +15,8 @@
     const auto target = in.latency_target > millis{} ? in.latency_target : options.usual_target;
     const auto longest = std::min(target * options.target_share - in.since_received, in.left * 0.5);
     admission_decision result{.retry_after = retry_after(in, options)};
-    const auto needed = millis::from_value(static_cast<double>(in.ahead) /
-                                           std::max(1.0, in.drained_per_second) * 1000);
+    const auto needed =
+        millis::from_value(static_cast<double>(in.ahead) / std::max(1.0, in.drained_per_second) * 1000);
     result.waits = longest > millis{} && (in.ahead == 0 || needed <= longest);
     result.give_up_after = longest;
     return result;
--- a/modules/berylcrank_balance/admission/admission_rule.h
+++ b/modules/berylcrank_balance/admission/admission_rule.h
@@ -6,12 +6,12 @@
 
 /** What is known when a request finds no room at any upstream of its service. Times count from now. */
 struct admission_inputs {
-    millis since_received;      ///< How long it has been here.
-    millis latency_target;      ///< Time within which its response is worth most; 0 when not known.
-    millis left;                ///< Until its deadline.
-    std::size_t ahead{0};       ///< Requests that would be served before it.
+    millis since_received;        ///< How long it has been here.
+    millis latency_target;        ///< Time within which its response is worth most; 0 when not known.
+    millis left;                  ///< Until its deadline.
+    std::size_t ahead{0};         ///< Requests that would be served before it.
     double drained_per_second{0}; ///< Requests of the service that ended here lately.
-    double random{0};           ///< In [0, 1).
+    double random{0};             ///< In [0, 1).
 };
 
 /** Whether a request waits for room, and if not, when its caller should come back. */
@@ -23,22 +23,22 @@
 
 /** Times of the admission rule. */
 struct admission_options {
-    double target_share{0.3};    ///< Share of the latency target that a request may spend waiting.
-    millis usual_target{300};    ///< Taken where a route names no target.
-    millis least_retry{120};     ///< Shortest time after which a caller may come back.
+    double target_share{0.3}; ///< Share of the latency target that a request may spend waiting.
+    millis usual_target{300}; ///< Taken where a route names no target.
+    millis least_retry{120};  ///< Shortest time after which a caller may come back.
     millis longest_retry{600};
 };
 
 /** Decides for a request that finds no room.
 
-    Answers the load of a burst: a request that cannot be served in time is refused at once, so that its caller comes
-    back while there is time left, and the upstreams keep serving those that still can be.
+    Answers the load of a burst: a request that cannot be served in time is refused at once, so that its
+   caller comes back while there is time left, and the upstreams keep serving those that still can be.
     @see wait_queue
 */
 admission_decision decide_admission(const admission_inputs& in, const admission_options& options);
 
-/** Time after which a refused caller should come back: when what is ahead of it has been served, with a spread so
-    that callers do not come back together. */
+/** Time after which a refused caller should come back: when what is ahead of it has been served, with a
+   spread so that callers do not come back together. */
 millis retry_after(const admission_inputs& in, const admission_options& options);
 
 } // namespace berylcrank
--- a/modules/berylcrank_balance/admission/wait_queue.h
+++ b/modules/berylcrank_balance/admission/wait_queue.h
@@ -16,14 +16,14 @@
 struct waiting_request {
     std::uint64_t number{0};
     std::string service;
-    int priority{0};       ///< 0 first.
-    instant give_up;       ///< The request is refused if it still waits at this moment.
+    int priority{0}; ///< 0 first.
+    instant give_up; ///< The request is refused if it still waits at this moment.
 };
 
 /** Requests that wait at this node for room at an upstream, most urgent first, then earliest give-up.
 
-    Answers the load of a burst or a lost failure domain: upstreams get only as many requests as they have slots,
-    and urgent requests pass the others.
+    Answers the load of a burst or a lost failure domain: upstreams get only as many requests as they have
+   slots, and urgent requests pass the others.
 */
 class wait_queue {
 public:
--- a/modules/berylcrank_balance/berylcrank_balance.h
+++ b/modules/berylcrank_balance/berylcrank_balance.h
@@ -3,9 +3,9 @@
 /** @file
     Module berylcrank_balance: the decisions of a node that serves callers on the platform.
 
-    Areas: config (routes and splits), catalog (records of the store, upstreams), load (what is known of upstreams),
-    choice (which upstream), admission (waiting and refusing), budget (resends), warmup (cold upstreams), peers
-    (other nodes and duties).
+    Areas: config (routes and splits), catalog (records of the store, upstreams), load (what is known of
+   upstreams), choice (which upstream), admission (waiting and refusing), budget (resends), warmup (cold
+   upstreams), peers (other nodes and duties).
 
     Dependencies: berylcrank_core, Abseil, xxhash. Does no I/O; time and randomness are arguments. One thread.
 */
--- a/modules/berylcrank_balance/budget/resend_budget.cpp
+++ b/modules/berylcrank_balance/budget/resend_budget.cpp
@@ -12,7 +12,8 @@
 } // namespace
 
 std::int64_t resend_budget::slot_of(instant now) const {
-    return now.since_start().micros() / std::max<std::int64_t>(1, limits_.window.micros() / buckets_per_window);
+    return now.since_start().micros() /
+           std::max<std::int64_t>(1, limits_.window.micros() / buckets_per_window);
 }
 
 resend_budget::bucket& resend_budget::current(instant now) {
--- a/modules/berylcrank_balance/budget/resend_budget.h
+++ b/modules/berylcrank_balance/budget/resend_budget.h
@@ -28,7 +28,8 @@
     /** Counts a first send. */
     void note_request(instant now);
 
-    /** Takes one resend if the budget allows it. `nodes` is the largest number of nodes that may be sending. */
+    /** Takes one resend if the budget allows it. `nodes` is the largest number of nodes that may be sending.
+     */
     bool take(std::size_t nodes, instant now);
 
 private:
--- a/modules/berylcrank_balance/catalog/record_book.cpp
+++ b/modules/berylcrank_balance/catalog/record_book.cpp
@@ -26,7 +26,8 @@
     confirm(end, confirmed);
 }
 
-void record_book::merge_snapshot(std::span<const state_record> records, std::uint64_t end, instant confirmed) {
+void record_book::merge_snapshot(std::span<const state_record> records, std::uint64_t end,
+                                 instant confirmed) {
     absl::flat_hash_set<std::string> present;
     for (const auto& it : records) {
         present.insert(it.key);
--- a/modules/berylcrank_balance/catalog/record_book.h
+++ b/modules/berylcrank_balance/catalog/record_book.h
@@ -13,13 +13,13 @@
 /** The newest record of each key of one source, merged by offset from the store and from other nodes, in any
     order and any number of times.
 
-    `end` is the offset up to which the book is complete. `confirmed` is the moment for which somebody who read the
-    store vouches that `end` was the store's own end.
+    `end` is the offset up to which the book is complete. `confirmed` is the moment for which somebody who
+   read the store vouches that `end` was the store's own end.
 */
 class record_book {
 public:
-    /** Takes a record that replaces what the book held; returns whether it changed what the node believes. Upstreams
-        write again and again only to show that they live. */
+    /** Takes a record that replaces what the book held; returns whether it changed what the node believes.
+       Upstreams write again and again only to show that they live. */
     using change_handler = std::function<bool(const state_record&)>;
 
     /** `changed` is called for each record that replaces what the book held. */
@@ -28,7 +28,8 @@
     /** Merges a run of records that begins at or before `end` and makes the book complete up to `end`. */
     void merge(std::span<const state_record> records, std::uint64_t end, instant confirmed);
 
-    /** Merges the whole content of the store: keys that it lacks and that are older than `end` were removed. */
+    /** Merges the whole content of the store: keys that it lacks and that are older than `end` were removed.
+     */
     void merge_snapshot(std::span<const state_record> records, std::uint64_t end, instant confirmed);
 
     /** Notes that the store's end was `end` at the moment `when`. */
@@ -39,8 +40,8 @@
     [[nodiscard]] std::uint64_t end() const { return end_; }
     [[nodiscard]] instant confirmed() const { return confirmed_; }
 
-    /** Takes another node's word that nothing of meaning lies between `changed` and `end`. Returns false if this book
-        lacks records before `changed`. */
+    /** Takes another node's word that nothing of meaning lies between `changed` and `end`. Returns false if
+       this book lacks records before `changed`. */
     bool extend(std::uint64_t changed, std::uint64_t end, instant confirmed);
 
     /** Offset behind the last record that changed what the node believes. */
--- a/modules/berylcrank_balance/catalog/upstream_directory.h
+++ b/modules/berylcrank_balance/catalog/upstream_directory.h
@@ -14,12 +14,12 @@
 /** One start of an upstream, as this node believes it to be. */
 struct upstream {
     upstream_entry entry;
-    std::uint32_t number{0};   ///< Hash of the id: names the upstream between nodes.
-    bool leaving{false};       ///< Draining or removed; receives no new request.
-    bool lapsed{false};        ///< Removed, perhaps only because the store was down.
-    instant lapsed_until;      ///< A lapsed upstream is removed at this moment.
+    std::uint32_t number{0}; ///< Hash of the id: names the upstream between nodes.
+    bool leaving{false};     ///< Draining or removed; receives no new request.
+    bool lapsed{false};      ///< Removed, perhaps only because the store was down.
+    instant lapsed_until;    ///< A lapsed upstream is removed at this moment.
     instant cold_until;
-    instant cold_known;        ///< When `cold_until` was last learnt.
+    instant cold_known; ///< When `cold_until` was last learnt.
 };
 
 using upstream_ptr = std::shared_ptr<upstream>;
@@ -41,8 +41,8 @@
     /** Takes the removal of a registration. `after_outage`: the store was unreachable just before. */
     void remove(std::string_view id, bool after_outage, instant now);
 
-    /** Sets whether a failure domain is evacuated. Its upstreams count as cold when it is taken back; `warm_up`
-        says for how long. */
+    /** Sets whether a failure domain is evacuated. Its upstreams count as cold when it is taken back;
+       `warm_up` says for how long. */
     void set_evacuated(const std::string& failure_domain, bool evacuated, millis warm_up, instant now);
 
     /** Takes what an upstream said of its warm-up at `when`. */
--- a/modules/berylcrank_balance/choice/upstream_choice.cpp
+++ b/modules/berylcrank_balance/choice/upstream_choice.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr double cold_slowness = 2; // factor on the expected slowness of a cold upstream
+constexpr double cold_slowness = 2;  // factor on the expected slowness of a cold upstream
 constexpr double failure_weight = 3; // exponent with which recent failures raise the cost
 
 bool contains(std::span<const std::uint32_t> tried, std::uint32_t number) {
@@ -34,7 +34,8 @@
 
 upstream_pick choose_upstream(const upstream_directory& directory, load_book& loads,
                               std::span<const upstream_ptr> candidates, std::span<const std::uint32_t> tried,
-                              const cold_check& cold_allowed, const choice_options& options, random_source& random, instant now) {
+                              const cold_check& cold_allowed, const choice_options& options,
+                              random_source& random, instant now) {
     upstream_pick best;
     double best_key = 0;
     bool below_knee = false;
@@ -54,8 +55,8 @@
             continue;
         }
         below_knee = below_knee || in_flight < usable_slots(slots, options);
-        double cost = expected_cost(in_flight, slots, load_book::slowness(load, loads.usual_slowness(), now),
-                                    options);
+        double cost =
+            expected_cost(in_flight, slots, load_book::slowness(load, loads.usual_slowness(), now), options);
         cost *= cold ? cold_slowness : 1;
         cost += it->entry.failure_domain == options.failure_domain ? 0 : options.other_domain_cost;
         cost *= load.outcomes_at == instant{} ? options.untried_factor : 1;
--- a/modules/berylcrank_balance/choice/upstream_choice.h
+++ b/modules/berylcrank_balance/choice/upstream_choice.h
@@ -12,26 +12,28 @@
 
 /** Weights of the choice. One unit is the time that a request takes at an idle upstream of usual slowness. */
 struct choice_options {
-    std::string failure_domain;        ///< Where this node is.
-    double other_domain_cost{0.35};    ///< Added for an upstream in another failure domain.
-    double fill_cost{0.15};            ///< Added in proportion to the slots that are taken.
-    double knee_share{0.8};            ///< Share of the slots from which upstreams slow down.
-    double knee_cost{0.7};             ///< Added past the knee.
-    double untried_factor{0.4};        ///< On the cost of an upstream that no node has used yet.
-    double jitter{0.12};               ///< Spread of the costs, so that nodes do not all pick the same upstream.
-    /** While no upstream of a service has less than this share of its slots filled, requests wait: an upstream that
-        slows down by 1.7 past the knee ends fewer requests a second with one slot more. */
+    std::string failure_domain;     ///< Where this node is.
+    double other_domain_cost{0.35}; ///< Added for an upstream in another failure domain.
+    double fill_cost{0.15};         ///< Added in proportion to the slots that are taken.
+    double knee_share{0.8};         ///< Share of the slots from which upstreams slow down.
+    double knee_cost{0.7};          ///< Added past the knee.
+    double untried_factor{0.4};     ///< On the cost of an upstream that no node has used yet.
+    double jitter{0.12};            ///< Spread of the costs, so that nodes do not all pick the same upstream.
+    /** While no upstream of a service has less than this share of its slots filled, requests wait: an
+       upstream that slows down by 1.7 past the knee ends fewer requests a second with one slot more. */
     double slot_share{0.8};
+    /** Cost, in units of the usual slowness, from which upstreams of other cells are looked at too. */
+    double spill_cost{1.4};
 };
 
 /** The upstream for a request and what decided it. */
 struct upstream_pick {
-    upstream_ptr it;         ///< Null if none has room.
+    upstream_ptr it; ///< Null if none has room.
     double cost{0};
-    double runner_up{0};     ///< Cost of the next best; 0 if there was none.
+    double runner_up{0}; ///< Cost of the next best; 0 if there was none.
     int in_flight{0};
     millis report_age;
-    bool any_usable{false};  ///< Whether the service has an upstream that may receive requests at all.
+    bool any_usable{false}; ///< Whether the service has an upstream that may receive requests at all.
 };
 
 /** Whether a cold upstream may receive a request from this node now. */
@@ -39,12 +41,14 @@
 
 /** Picks the upstream at which a request is expected to end soonest.
 
-    `candidates` are the upstreams of the service that this node uses; `tried` are the numbers of upstreams that the request already reached.
+    `candidates` are the upstreams of the service that this node uses; `tried` are the numbers of upstreams
+   that the request already reached.
     @see load_book, upstream_directory
 */
 upstream_pick choose_upstream(const upstream_directory& directory, load_book& loads,
                               std::span<const upstream_ptr> candidates, std::span<const std::uint32_t> tried,
-                              const cold_check& cold_allowed, const choice_options& options, random_source& random, instant now);
+                              const cold_check& cold_allowed, const choice_options& options,
+                              random_source& random, instant now);
 
 /** Slots of an upstream that requests may fill; at least 1. */
 int usable_slots(int slots, const choice_options& options);
--- a/modules/berylcrank_balance/choice/upstream_subset.cpp
+++ b/modules/berylcrank_balance/choice/upstream_subset.cpp
@@ -26,34 +26,46 @@
     if (!peers_.many_cells()) {
         return all;
     }
+    return current(service, now).members;
+}
+
+const std::vector<upstream_ptr>& upstream_subset::spill_of_service(std::string_view service, instant now) {
+    static const std::vector<upstream_ptr> none;
+    return peers_.many_cells() ? current(service, now).spill : none;
+}
+
+upstream_subset::held_subset& upstream_subset::current(std::string_view service, instant now) {
     auto& held = held_[absl::string_view(service.data(), service.size())];
     if (now >= held.until) {
-        held = {.members = compute(all), .until = now + lifetime};
+        held = {.until = now + lifetime};
+        compute(directory_.of_service(service), held);
     }
-    return held.members;
+    return held;
 }
 
-std::vector<upstream_ptr> upstream_subset::compute(const std::vector<upstream_ptr>& all) const {
-    std::vector<upstream_ptr> members;
+void upstream_subset::compute(const std::vector<upstream_ptr>& all, held_subset& to) const {
+    auto& members = to.members;
     std::vector<upstream_ptr> others;
     for (const auto& it : all) {
         if (directory_.usable(*it)) {
             (is_home(*it) ? members : others).push_back(it);
         }
     }
-    const auto usable = members.size() + others.size();
-    const double fair = static_cast<double>(usable) / static_cast<double>(peers_.cell_count());
-    if (members.size() >= fewest && static_cast<double>(members.size()) >= enough * fair) {
-        return members;
-    }
-    const auto wanted = std::min(usable, std::max(fewest, static_cast<std::size_t>(std::ceil(fair))));
     std::sort(others.begin(), others.end(), [this](const auto& a, const auto& b) {
         return affinity(peers_.own_cell(), a->number) > affinity(peers_.own_cell(), b->number);
     });
-    for (std::size_t i = 0; i < others.size() && members.size() < wanted; ++i) {
-        members.push_back(others[i]);
+    const auto usable = members.size() + others.size();
+    const double fair = static_cast<double>(usable) / static_cast<double>(peers_.cell_count());
+    const bool few = members.size() < fewest || static_cast<double>(members.size()) < enough * fair;
+    const auto wanted =
+        few ? std::min(usable, std::max(fewest, static_cast<std::size_t>(std::ceil(fair)))) : members.size();
+    for (const auto& it : others) {
+        if (members.size() < wanted) {
+            members.push_back(it);
+        } else if (to.spill.size() < spill_size) {
+            to.spill.push_back(it);
+        }
     }
-    return members;
 }
 
 } // namespace berylcrank
--- a/modules/berylcrank_balance/choice/upstream_subset.h
+++ b/modules/berylcrank_balance/choice/upstream_subset.h
@@ -10,9 +10,9 @@
 
 namespace berylcrank {
 
-/** The upstreams that a node uses. In a deployment of one cell these are all; in a larger one those for which its
-    cell answers and, where these are too few (an evacuated failure domain, a service with few upstreams), others
-    that the nodes of the cell agree on by hashing.
+/** The upstreams that a node uses. In a deployment of one cell these are all; in a larger one those for which
+   its cell answers and, where these are too few (an evacuated failure domain, a service with few upstreams),
+   others that the nodes of the cell agree on by hashing.
 
     Answers the size of the deployment: what a node knows, asks and connects to stays the same when it grows.
     @see peer_table
@@ -29,19 +29,28 @@
     upstream_subset(const upstream_directory& directory, const peer_table& peers)
         : directory_(directory), peers_(peers) {}
 
+    /** Upstreams of other cells that a cell may use when its own have no room. */
+    static constexpr std::size_t spill_size = 12;
+
     /** The upstreams of a service that this node uses now. */
     const std::vector<upstream_ptr>& of_service(std::string_view service, instant now);
 
+    /** Upstreams of other cells for the load that the own ones do not take; the nodes of a cell agree on
+     * them. */
+    const std::vector<upstream_ptr>& spill_of_service(std::string_view service, instant now);
+
     /** Whether this node's cell answers for an upstream: asks it and admits requests while it is cold. */
     [[nodiscard]] bool is_home(const upstream& it) const;
 
 private:
     struct held_subset {
         std::vector<upstream_ptr> members;
+        std::vector<upstream_ptr> spill;
         instant until;
     };
 
-    [[nodiscard]] std::vector<upstream_ptr> compute(const std::vector<upstream_ptr>& all) const;
+    held_subset& current(std::string_view service, instant now);
+    void compute(const std::vector<upstream_ptr>& all, held_subset& to) const;
 
     const upstream_directory& directory_;
     const peer_table& peers_;
--- a/modules/berylcrank_balance/config/route_table.h
+++ b/modules/berylcrank_balance/config/route_table.h
@@ -31,7 +31,9 @@
     [[nodiscard]] const service_entry* service(std::string_view name) const;
 
     /** All services of the configuration in force, by name. */
-    [[nodiscard]] const absl::flat_hash_map<std::string, const service_entry*>& services() const { return services_; }
+    [[nodiscard]] const absl::flat_hash_map<std::string, const service_entry*>& services() const {
+        return services_;
+    }
 
     [[nodiscard]] const ingress_limits& limits() const;
 
--- a/modules/berylcrank_balance/config/service_config.h
+++ b/modules/berylcrank_balance/config/service_config.h
@@ -32,10 +32,10 @@
     std::string host;
     std::string path_prefix;
     repeat_rule rule{repeat_rule::unsafe};
-    millis time_limit;           ///< Longest time a caller is kept waiting; 0 for none.
-    millis latency_target;       ///< Time within which a response is worth most; 0 when not known.
-    int priority{0};             ///< 0 is the most urgent.
-    int max_attempts{1};         ///< Upstreams to which one client attempt may be sent.
+    millis time_limit;     ///< Longest time a caller is kept waiting; 0 for none.
+    millis latency_target; ///< Time within which a response is worth most; 0 when not known.
+    int priority{0};       ///< 0 is the most urgent.
+    int max_attempts{1};   ///< Upstreams to which one client attempt may be sent.
     std::vector<traffic_part> parts;
 };
 
@@ -43,9 +43,9 @@
 struct service_entry {
     std::string name;
     std::string health_path;
-    int max_connections{0};      ///< Connections one upstream accepts from all nodes; 0 when not known.
-    millis warm_up;              ///< Time for which an upstream stays cold after its start.
-    double warm_up_per_second{0};///< Requests a second that a cold upstream tolerates; 0 for no limit.
+    int max_connections{0};       ///< Connections one upstream accepts from all nodes; 0 when not known.
+    millis warm_up;               ///< Time for which an upstream stays cold after its start.
+    double warm_up_per_second{0}; ///< Requests a second that a cold upstream tolerates; 0 for no limit.
 };
 
 /** What a caller may send. */
--- a/modules/berylcrank_balance/config/weighted_split.h
+++ b/modules/berylcrank_balance/config/weighted_split.h
@@ -7,8 +7,8 @@
 
 namespace berylcrank {
 
-/** Distributes the requests of split routes by weight with smooth weighted round robin, so that every short run
-    of requests keeps the proportions.
+/** Distributes the requests of split routes by weight with smooth weighted round robin, so that every short
+   run of requests keeps the proportions.
 
     @see traffic_part
 */
--- a/modules/berylcrank_balance/load/load_book.h
+++ b/modules/berylcrank_balance/load/load_book.h
@@ -12,8 +12,8 @@
 /** What a node knows of the load of each upstream: its own requests in flight, those of the other nodes, the
     newest report of the upstream and how its recent requests ended.
 
-    Answers the load of a calm or busy day on which upstreams turn slow and fast again within milliseconds: reports
-    lose their weight with age, and the sum of all nodes' requests replaces each node's own.
+    Answers the load of a calm or busy day on which upstreams turn slow and fast again within milliseconds:
+   reports lose their weight with age, and the sum of all nodes' requests replaces each node's own.
     @see upstream_choice
 */
 class load_book {
@@ -35,11 +35,11 @@
         bool reported{false};
         int own{0};
         int others{0};
-        outcome_count outcomes;      // decayed
+        outcome_count outcomes; // decayed
         instant outcomes_at;
-        instant down_until;          // not reachable before this moment
+        instant down_until; // not reachable before this moment
         millis pause;
-        outcome_count unsent;        // results of own requests since the last message to the other nodes
+        outcome_count unsent; // results of own requests since the last message to the other nodes
         bool report_unsent{false};
     };
 
--- a/modules/berylcrank_balance/peers/peer_table.cpp
+++ b/modules/berylcrank_balance/peers/peer_table.cpp
@@ -88,9 +88,11 @@
     std::vector<roster_entry> result;
     for (const auto& [number, it] : peers_) {
         if (is_live(it, now)) {
-            result.push_back(
-                {.number = number, .incarnation = it.info.incarnation, .beat = it.beat, .ready = it.ready,
-                 .blind = it.blind});
+            result.push_back({.number = number,
+                              .incarnation = it.info.incarnation,
+                              .beat = it.beat,
+                              .ready = it.ready,
+                              .blind = it.blind});
         }
     }
     return result;
@@ -183,7 +185,8 @@
     if (found != cells_.end() && found->second == own_cell_) {
         return peer_relation::same_cell;
     }
-    return it.info.failure_domain == self_.failure_domain ? peer_relation::same_domain : peer_relation::distant;
+    return it.info.failure_domain == self_.failure_domain ? peer_relation::same_domain
+                                                          : peer_relation::distant;
 }
 
 bool peer_table::is_live(const peer& it, instant now) const {
@@ -230,8 +233,8 @@
 
 std::size_t peer_table::reader_rank(bool blind, instant now) const {
     return static_cast<std::size_t>(std::count_if(peers_.begin(), peers_.end(), [&](const auto& it) {
-        return is_live(it.second, now) && (blind ? precedes(it.second) || !it.second.blind
-                                                 : precedes(it.second) && !it.second.blind);
+        return is_live(it.second, now) &&
+               (blind ? precedes(it.second) || !it.second.blind : precedes(it.second) && !it.second.blind);
     }));
 }
 
@@ -242,15 +245,16 @@
 
 std::size_t peer_table::rank_in_cell(instant now) const {
     return static_cast<std::size_t>(std::count_if(peers_.begin(), peers_.end(), [&](const auto& it) {
-        return relation(it.second) == peer_relation::same_cell && is_live(it.second, now) && precedes(it.second);
+        return relation(it.second) == peer_relation::same_cell && is_live(it.second, now) &&
+               precedes(it.second);
     }));
 }
 
 bool peer_table::owns(std::uint64_t key, instant now) const {
     const auto own = weight(self_number_, key);
     return std::none_of(peers_.begin(), peers_.end(), [&](const auto& it) {
-        return it.second.ready && weight(it.first, key) > own && relation(it.second) == peer_relation::same_cell &&
-               is_live(it.second, now);
+        return it.second.ready && weight(it.first, key) > own &&
+               relation(it.second) == peer_relation::same_cell && is_live(it.second, now);
     });
 }
 
--- a/modules/berylcrank_balance/peers/peer_table.h
+++ b/modules/berylcrank_balance/peers/peer_table.h
@@ -46,7 +46,7 @@
     std::uint64_t incarnation{0};
     std::uint32_t beat{0}; ///< Grows while the node runs.
     bool ready{false};
-    bool blind{false};     ///< Cannot read the store.
+    bool blind{false}; ///< Cannot read the store.
 };
 
 /** Another node, as far as messages tell. */
@@ -54,18 +54,18 @@
     node_info info;
     std::uint64_t number{0};
     instant added;
-    instant heard;          ///< When news of it arrived last, of its own or in a roster.
+    instant heard; ///< When news of it arrived last, of its own or in a roster.
     std::uint32_t beat{0};
-    bool ready{false};      ///< Accepts callers.
-    bool blind{false};      ///< Cannot read the store.
+    bool ready{false}; ///< Accepts callers.
+    bool blind{false}; ///< Cannot read the store.
     bool ever_heard{false};
 };
 
 /** The nodes of the deployment and their grouping into cells.
 
     A small deployment is one cell, in which every node hears every other. A large one has cells of about
-    `cell_size` nodes in each failure domain, so that the messages a node sends and receives do not grow with the
-    deployment; news of distant nodes comes in rosters.
+    `cell_size` nodes in each failure domain, so that the messages a node sends and receives do not grow with
+   the deployment; news of distant nodes comes in rosters.
     @see node_info, upstream_subset
 */
 class peer_table {
@@ -74,8 +74,8 @@
     static constexpr std::size_t single_cell_limit = 24;
     /** Nodes of a cell in a large deployment, about. */
     static constexpr std::size_t cell_size = 14;
-    /** Silence after which a node no longer counts as live. Messages in a cell come every 50 to 100 ms, greetings in
-        a failure domain every 500 ms, rosters take some 700 ms a hop and six hops. */
+    /** Silence after which a node no longer counts as live. Messages in a cell come every 50 to 100 ms,
+       greetings in a failure domain every 500 ms, rosters take some 700 ms a hop and six hops. */
     static constexpr millis silence_in_cell{700};
     static constexpr millis silence_in_domain{1700};
     static constexpr millis silence_distant{9000};
@@ -104,7 +104,8 @@
     /** What this node knows of all live nodes but itself. */
     [[nodiscard]] std::vector<roster_entry> roster(instant now) const;
 
-    /** Forgets nodes that stay silent; returns the numbers of those that turned silent since the last call. */
+    /** Forgets nodes that stay silent; returns the numbers of those that turned silent since the last call.
+     */
     std::vector<std::uint64_t> expire(instant now);
 
     [[nodiscard]] peer_relation relation(const peer& it) const;
@@ -122,8 +123,8 @@
     /** Number of cells. */
     [[nodiscard]] std::size_t cell_count() const;
 
-    /** Place of this node among the live ones that can read the store, or among all live ones if it cannot itself;
-        largest capacity first; 0 is the first. */
+    /** Place of this node among the live ones that can read the store, or among all live ones if it cannot
+       itself; largest capacity first; 0 is the first. */
     [[nodiscard]] std::size_t reader_rank(bool blind, instant now) const;
     /** The same among all known nodes, whether they were heard or not: for a node that has just started. */
     [[nodiscard]] std::size_t rank_among_known() const;
--- a/modules/berylcrank_balance/warmup/warmup_gate.h
+++ b/modules/berylcrank_balance/warmup/warmup_gate.h
@@ -10,18 +10,19 @@
 
 /** Limits the requests that this node sends to each cold upstream.
 
-    One node, chosen by rendezvous hashing over the live nodes, admits requests to a cold upstream; the others send
-    none. Its rate is under half of what the upstream bears, so that two nodes which disagree on the membership
-    stay within the bound together.
+    One node, chosen by rendezvous hashing over the live nodes, admits requests to a cold upstream; the others
+   send none. Its rate is under half of what the upstream bears, so that two nodes which disagree on the
+   membership stay within the bound together.
     @see peer_table
 */
 class warmup_gate {
 public:
-    /** Span in which requests are counted: the platform's second, and what may lie between send and arrival. */
+    /** Span in which requests are counted: the platform's second, and what may lie between send and arrival.
+     */
     static constexpr millis span{1150};
 
-    /** Whether another request may go to the cold upstream `number` now; `most` is the bound on the requests a
-        second of all nodes. */
+    /** Whether another request may go to the cold upstream `number` now; `most` is the bound on the requests
+       a second of all nodes. */
     [[nodiscard]] bool allows(std::uint32_t number, double most, instant now);
 
     /** Counts a request that was sent there. */
--- a/modules/berylcrank_core/time/clock.h
+++ b/modules/berylcrank_core/time/clock.h
@@ -41,8 +41,8 @@
     std::chrono::steady_clock::time_point start_;
 };
 
-/** The clock of the operating system that also counts the time for which the machine was suspended, so that what
-    was learnt before a suspension is as old as it really is.
+/** The clock of the operating system that also counts the time for which the machine was suspended, so that
+   what was learnt before a suspension is as old as it really is.
 
     @see clock
 */
@@ -50,7 +50,9 @@
 public:
     boot_clock() : start_(micros()) {}
 
-    [[nodiscard]] instant now() const override { return instant{origin_gap + millis::from_micros(micros() - start_)}; }
+    [[nodiscard]] instant now() const override {
+        return instant{origin_gap + millis::from_micros(micros() - start_)};
+    }
 
 private:
     // Distance from the origin, which stands for "never", to the construction.
--- a/modules/berylcrank_gateway/client/client_connection.h
+++ b/modules/berylcrank_gateway/client/client_connection.h
@@ -51,8 +51,8 @@
     client_connection(boost::asio::io_context& io, boost::asio::ip::tcp::endpoint address, const clock& time)
         : socket_(io), address_(std::move(address)), time_(time), writer_(socket_) {}
 
-    /** Sends a serialized request and reports to `sink`, which must stay alive or be detached by `cancel`. Connects
-        first if necessary. `no_body`: the response to this method has no body. */
+    /** Sends a serialized request and reports to `sink`, which must stay alive or be detached by `cancel`.
+       Connects first if necessary. `no_body`: the response to this method has no body. */
     void call(std::string request, response_sink& sink, bool no_body = false);
 
     /** Detaches the sink and closes the connection; the upstream sees that the caller left. */
--- a/modules/berylcrank_gateway/client/connection_pool.cpp
+++ b/modules/berylcrank_gateway/client/connection_pool.cpp
@@ -7,12 +7,14 @@
 namespace berylcrank {
 
 bool connection_pool::fresh(const client_connection& it, millis max_idle) const {
-    const auto limit = it.keep_alive() > millis{} ? std::max(it.keep_alive() - idle_margin, it.keep_alive() * 0.5)
-                                                  : usual_idle;
+    const auto limit = it.keep_alive() > millis{}
+                           ? std::max(it.keep_alive() - idle_margin, it.keep_alive() * 0.5)
+                           : usual_idle;
     return it.idle() && time_.now() - it.idle_since() < std::min(limit, max_idle);
 }
 
-client_connection_ptr connection_pool::take(const std::string& key, const std::string& address, millis max_idle) {
+client_connection_ptr connection_pool::take(const std::string& key, const std::string& address,
+                                            millis max_idle) {
     auto& idle = idle_[key];
     while (!idle.empty()) {
         auto it = std::move(idle.back());
--- a/modules/berylcrank_gateway/client/connection_pool.h
+++ b/modules/berylcrank_gateway/client/connection_pool.h
@@ -24,8 +24,8 @@
 
     connection_pool(boost::asio::io_context& io, const clock& time) : io_(io), time_(time) {}
 
-    /** An idle connection of `key`, or a new one to `address` ("IP:PORT"). Idle connections older than `max_idle`
-        are passed over. */
+    /** An idle connection of `key`, or a new one to `address` ("IP:PORT"). Idle connections older than
+       `max_idle` are passed over. */
     client_connection_ptr take(const std::string& key, const std::string& address, millis max_idle);
 
     /** Gives a reusable connection back. */
--- a/modules/berylcrank_gateway/client/simple_call.cpp
+++ b/modules/berylcrank_gateway/client/simple_call.cpp
@@ -43,7 +43,8 @@
     void check_time(instant now) {
         if (!finished_ && now >= limit_) {
             result_.timed_out = true;
-            const auto why = connection_->connected() ? call_failure::no_response : call_failure::not_connected;
+            const auto why =
+                connection_->connected() ? call_failure::no_response : call_failure::not_connected;
             connection_->cancel();
             on_failed(why);
         }
@@ -72,9 +73,9 @@
 };
 
 void simple_caller::call(const call_request& request, millis limit, handler done) {
-    auto it = std::make_shared<pending>(pool_, request.address,
-                                        pool_.take(request.address, request.address, connection_pool::longest_idle),
-                                        time_.now() + limit, max_body_, std::move(done));
+    auto it = std::make_shared<pending>(
+        pool_, request.address, pool_.take(request.address, request.address, connection_pool::longest_idle),
+        time_.now() + limit, max_body_, std::move(done));
     pending_.push_back(it);
     it->start(serialize(request));
 }
--- a/modules/berylcrank_gateway/flow/attempt.cpp
+++ b/modules/berylcrank_gateway/flow/attempt.cpp
@@ -4,7 +4,8 @@
 
 namespace {
 
-constexpr double shed_weight = 0.3; // of a shed in the failure share: often the load, not the upstream, is the cause
+constexpr double shed_weight =
+    0.3; // of a shed in the failure share: often the load, not the upstream, is the cause
 
 } // namespace
 
@@ -19,7 +20,8 @@
     if (target_->cold_until > started_) {
         node_.warmups.sent(target_->number, started_);
     }
-    connection_ = node_.connections.take(connection_key(*target_), target_->entry.address, connection_pool::longest_idle);
+    connection_ = node_.connections.take(connection_key(*target_), target_->entry.address,
+                                         connection_pool::longest_idle);
     connection_->call(std::move(request), *this, no_body);
 }
 
--- a/modules/berylcrank_gateway/flow/attempt.h
+++ b/modules/berylcrank_gateway/flow/attempt.h
@@ -10,9 +10,9 @@
 
 /** What one attempt proved. */
 enum class attempt_result : std::uint8_t {
-    response,  ///< A whole response, or one that is being passed on.
-    not_run,   ///< The upstream said that it did not run the request, or was never reached.
-    unknown,   ///< No whole response; the request may have run.
+    response, ///< A whole response, or one that is being passed on.
+    not_run,  ///< The upstream said that it did not run the request, or was never reached.
+    unknown,  ///< No whole response; the request may have run.
 };
 
 /** What owns attempts. */
@@ -29,7 +29,8 @@
     virtual void on_end(attempt& it) = 0;
 };
 
-/** One send of a request to one upstream: keeps the load book, the warm-up gate and the connection pool informed.
+/** One send of a request to one upstream: keeps the load book, the warm-up gate and the connection pool
+   informed.
 
     @see request_flow
 */
@@ -60,11 +61,11 @@
     [[nodiscard]] instant last_news() const { return last_news_; }
     [[nodiscard]] const client_connection_ptr& connection() const { return connection_; }
 
-    response_head head;      ///< Set when `has_head`.
-    std::string body;        ///< Bytes that the owner has not taken.
+    response_head head; ///< Set when `has_head`.
+    std::string body;   ///< Bytes that the owner has not taken.
     bool has_head{false};
-    bool not_run{false};     ///< The upstream says so.
-    bool complete{false};    ///< The response is whole.
+    bool not_run{false};  ///< The upstream says so.
+    bool complete{false}; ///< The response is whole.
 
 private:
     void end(attempt_result result);
--- a/modules/berylcrank_gateway/flow/gateway.h
+++ b/modules/berylcrank_gateway/flow/gateway.h
@@ -6,7 +6,8 @@
 
 namespace berylcrank {
 
-/** Answers callers: finds the route of a request and makes its flow; gives room at upstreams to waiting requests.
+/** Answers callers: finds the route of a request and makes its flow; gives room at upstreams to waiting
+   requests.
 
     @see request_flow, node_state
 */
--- a/modules/berylcrank_gateway/flow/gateway_metrics.cpp
+++ b/modules/berylcrank_gateway/flow/gateway_metrics.cpp
@@ -7,8 +7,8 @@
 namespace {
 
 const prometheus::Histogram::BucketBoundaries& latency_bounds() {
-    static const prometheus::Histogram::BucketBoundaries bounds{0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5,
-                                                                0.8,  1.2,   2,    4,   8};
+    static const prometheus::Histogram::BucketBoundaries bounds{0.01, 0.025, 0.05, 0.1, 0.2, 0.3,
+                                                                0.5,  0.8,   1.2,  2,   4,   8};
     return bounds;
 }
 
--- a/modules/berylcrank_gateway/flow/node_state.h
+++ b/modules/berylcrank_gateway/flow/node_state.h
@@ -16,8 +16,8 @@
     @see gateway, prober, gateway_node
 */
 struct node_state {
-    node_state(boost::asio::io_context& io, const clock& time_source, const wire_format& format, event_log& events,
-               gateway_options node_options, std::uint64_t seed)
+    node_state(boost::asio::io_context& io, const clock& time_source, const wire_format& format,
+               event_log& events, gateway_options node_options, std::uint64_t seed)
         : time(time_source), wire(format), log(events), options(std::move(node_options)), random(seed),
           split(random.unit()), peers(options.self), subset(upstreams, peers), connections(io, time) {}
 
@@ -38,6 +38,7 @@
     upstream_subset subset;
     connection_pool connections; // to upstreams
     absl::flat_hash_map<std::string, resend_budget> budgets;
+    absl::flat_hash_map<std::string, instant> spilled; // when a service last used upstreams of other cells
 
     /** The resend budget of a service. */
     resend_budget& budget(const std::string& service) {
--- a/modules/berylcrank_gateway/flow/prober.cpp
+++ b/modules/berylcrank_gateway/flow/prober.cpp
@@ -7,9 +7,11 @@
 namespace {
 
 constexpr std::size_t max_health_body = 65536; // bytes
-constexpr double unhealthy_weight = 0.3;       // of a failed health check in the failure share: it may be wrong
-constexpr int down_factor = 4;                 // probes of an unreachable upstream are rarer by this factor
-constexpr int silent_factor = 5;               // likewise of one that tells no load
+constexpr double unhealthy_weight = 0.3; // of a failed health check in the failure share: it may be wrong
+constexpr int down_factor = 4;           // probes of an unreachable upstream are rarer by this factor
+constexpr int spill_factor = 4;          // likewise of one of another cell, which is probed there as well
+constexpr millis spill_memory{1500};     // for which upstreams of other cells are probed after their last use
+constexpr int silent_factor = 5;         // likewise of one that tells no load
 
 } // namespace
 
@@ -24,6 +26,18 @@
                 probe_if_due(it, service->health_path, now);
             }
         }
+        const auto used = node_.spilled.find(name);
+        if (used == node_.spilled.end() || now - used->second > spill_memory) {
+            continue;
+        }
+        for (const auto& it : node_.subset.spill_of_service(name, now)) {
+            const auto* load = node_.loads.find(it->number);
+            const bool stale =
+                load == nullptr || now - load->report.at > node_.options.probe_interval * spill_factor;
+            if (stale && node_.peers.owns(it->number, now)) {
+                probe_if_due(it, service->health_path, now);
+            }
+        }
     }
 }
 
--- a/modules/berylcrank_gateway/flow/prober.h
+++ b/modules/berylcrank_gateway/flow/prober.h
@@ -5,8 +5,8 @@
 
 namespace berylcrank {
 
-/** Asks the upstreams that this node answers for how loaded, healthy and warm they are. The other nodes learn it from
-    this node's messages, so that all nodes together stay within the probing budget.
+/** Asks the upstreams that this node answers for how loaded, healthy and warm they are. The other nodes learn
+   it from this node's messages, so that all nodes together stay within the probing budget.
 
     @see peer_table, load_book
 */
--- a/modules/berylcrank_gateway/flow/request_flow.cpp
+++ b/modules/berylcrank_gateway/flow/request_flow.cpp
@@ -12,8 +12,8 @@
 
 namespace {
 
-constexpr int max_unreached = 4;          // upstreams that could not be reached before a request is given up
-constexpr millis least_left_to_send{30};  // a request with less time left is not sent again
+constexpr int max_unreached = 4;         // upstreams that could not be reached before a request is given up
+constexpr millis least_left_to_send{30}; // a request with less time left is not sent again
 
 millis time_limit(const exchange& caller, const route_entry& route, const node_state& node) {
     auto limit = route.time_limit > millis{} ? route.time_limit : node.options.usual_time_limit;
@@ -28,7 +28,8 @@
 } // namespace
 
 request_flow::request_flow(gateway& owner, node_state& node, exchange_ptr caller,
-                           std::shared_ptr<const route_entry> route, std::string service, std::uint64_t number)
+                           std::shared_ptr<const route_entry> route, std::string service,
+                           std::uint64_t number)
     : gateway_(owner), node_(node), caller_(std::move(caller)), route_(std::move(route)),
       service_(std::move(service)), number_(number) {
     if (const auto* id = find_header(caller_->head.headers, node_.wire.headers().request_id)) {
@@ -65,9 +66,24 @@
 
 upstream_pick request_flow::pick() {
     const auto now = node_.time.now();
-    return choose_upstream(node_.upstreams, node_.loads, node_.subset.of_service(service_, now), tried_,
-                           [this, now](const upstream& it) { return node_.cold_allowed(it, now); },
-                           node_.options.choice, node_.random, now);
+    const auto choose = [&](const std::vector<upstream_ptr>& candidates) {
+        return choose_upstream(
+            node_.upstreams, node_.loads, candidates, tried_,
+            [this, now](const upstream& it) { return node_.cold_allowed(it, now); }, node_.options.choice,
+            node_.random, now);
+    };
+    const auto best = choose(node_.subset.of_service(service_, now));
+    const auto& spill = node_.subset.spill_of_service(service_, now);
+    if (spill.empty() ||
+        (best.it && best.cost < node_.options.choice.spill_cost * node_.loads.usual_slowness())) {
+        return best;
+    }
+    const auto other = choose(spill);
+    if (!other.it || (best.it && best.cost <= other.cost)) {
+        return best;
+    }
+    node_.spilled[service_] = now;
+    return other;
 }
 
 admission_inputs request_flow::admission(instant now, std::size_t ahead) const {
@@ -110,7 +126,8 @@
             it.headers.emplace_back(name, value);
         }
     }
-    it.headers.emplace_back(names.time_left, absl::StrCat(std::max<std::int64_t>(1, (deadline_ - now).count())));
+    it.headers.emplace_back(names.time_left,
+                            absl::StrCat(std::max<std::int64_t>(1, (deadline_ - now).count())));
     it.headers.emplace_back(names.expected_upstream, target.entry.id);
     return serialize(it);
 }
@@ -151,7 +168,7 @@
     node_.log.line("attempt-ended")
         .field("request", id_)
         .field("upstream", it.target().entry.id)
-        .field("result", it.result() == attempt_result::response ? "response"
+        .field("result", it.result() == attempt_result::response  ? "response"
                          : it.result() == attempt_result::not_run ? "not-run"
                                                                   : "may-have-run")
         .field("status", it.has_head ? it.head.status : 0)
@@ -159,7 +176,7 @@
         .field("error", it.connection() ? it.connection()->error() : "")
         .field("took_ms", (node_.time.now() - it.started()).value())
         .send();
-    node_.metrics.attempt(service_, it.result() == attempt_result::response ? "response"
+    node_.metrics.attempt(service_, it.result() == attempt_result::response  ? "response"
                                     : it.result() == attempt_result::not_run ? "not-run"
                                                                              : "unknown");
     gateway_.drained(service_);
@@ -174,7 +191,8 @@
             --sends_; // nothing was sent
             ++unreached_;
         }
-        send_again_or([this] { may_have_run_ ? fail(502, "upstream-failed") : refuse("upstream-full"); }, "not-run");
+        send_again_or([this] { may_have_run_ ? fail(502, "upstream-failed") : refuse("upstream-full"); },
+                      "not-run");
     } else if (passing_on_ == &it) {
         finish("broken-off", it.head.status);
         caller_->abort();
@@ -239,8 +257,8 @@
 
 void request_flow::refuse(std::string_view reason) {
     const auto now = node_.time.now();
-    const auto after =
-        retry_after(admission(now, node_.waiting.ahead_of(service_, route_->priority)), node_.options.admission);
+    const auto after = retry_after(admission(now, node_.waiting.ahead_of(service_, route_->priority)),
+                                   node_.options.admission);
     node_.log.line("refused")
         .field("request", id_)
         .field("route", route_->name)
@@ -315,7 +333,8 @@
     }
     const auto self = shared_from_this();
     node_.log.line("caller-left").field("request", id_).field("tries", sends_).send();
-    const bool running = std::any_of(attempts_.begin(), attempts_.end(), [](const auto& it) { return !it->ended(); });
+    const bool running =
+        std::any_of(attempts_.begin(), attempts_.end(), [](const auto& it) { return !it->ended(); });
     if (running && !is_idempotent(route_->rule)) {
         abandoned_ = true; // let the work end; the response is dropped
         return;
--- a/modules/berylcrank_gateway/flow/request_flow.h
+++ b/modules/berylcrank_gateway/flow/request_flow.h
@@ -11,15 +11,15 @@
 
 class gateway;
 
-/** One request of a caller from its arrival to its response: waits for room, is sent to upstreams, may be sent
-    again where that is allowed, and is answered once.
+/** One request of a caller from its arrival to its response: waits for room, is sent to upstreams, may be
+   sent again where that is allowed, and is answered once.
 
     @see gateway, attempt
 */
 class request_flow final : public attempt_owner, public std::enable_shared_from_this<request_flow> {
 public:
-    request_flow(gateway& owner, node_state& node, exchange_ptr caller, std::shared_ptr<const route_entry> route,
-                 std::string service, std::uint64_t number);
+    request_flow(gateway& owner, node_state& node, exchange_ptr caller,
+                 std::shared_ptr<const route_entry> route, std::string service, std::uint64_t number);
 
     /** Looks for room; waits or refuses if there is none. */
     void start();
--- a/modules/berylcrank_gateway/flow/wire_format.h
+++ b/modules/berylcrank_gateway/flow/wire_format.h
@@ -14,14 +14,14 @@
 
 /** Names of the headers that callers, nodes and upstreams use. */
 struct header_names {
-    std::string request_id;   ///< Differs for each attempt of a caller.
-    std::string time_left;    ///< Milliseconds for which the caller waits.
+    std::string request_id;        ///< Differs for each attempt of a caller.
+    std::string time_left;         ///< Milliseconds for which the caller waits.
     std::string expected_upstream; ///< Id of the upstream that alone may run the request.
-    std::string not_run;      ///< On a response: the upstream did not run the request.
-    std::string retry_after;  ///< Seconds, with fractions.
-    std::string load;         ///< On a response: the upstream's load.
-    std::string upstream_id;  ///< On a health response.
-    std::string cold_left;    ///< On a health response: milliseconds for which the upstream stays cold.
+    std::string not_run;           ///< On a response: the upstream did not run the request.
+    std::string retry_after;       ///< Seconds, with fractions.
+    std::string load;              ///< On a response: the upstream's load.
+    std::string upstream_id;       ///< On a health response.
+    std::string cold_left;         ///< On a health response: milliseconds for which the upstream stays cold.
 };
 
 /** What the records of operators can say. */
@@ -43,7 +43,8 @@
     [[nodiscard]] virtual std::optional<load_report> read_load(std::string_view value) const = 0;
 
     /** What an operators' key names; `failure_domain` is set for an evacuation. */
-    [[nodiscard]] virtual operator_record classify(std::string_view key, std::string& failure_domain) const = 0;
+    [[nodiscard]] virtual operator_record classify(std::string_view key,
+                                                   std::string& failure_domain) const = 0;
 
     [[nodiscard]] virtual boost::leaf::result<service_config> read_config(std::string_view value) const = 0;
 
@@ -52,7 +53,8 @@
                                                                             std::string_view value) const = 0;
 
     /** Body of an answer to callers who ask where to connect. */
-    [[nodiscard]] virtual std::string write_addresses(std::span<const std::string> addresses, millis ttl) const = 0;
+    [[nodiscard]] virtual std::string write_addresses(std::span<const std::string> addresses,
+                                                      millis ttl) const = 0;
 
     /** Media type of that body. */
     [[nodiscard]] virtual std::string_view content_type() const = 0;
--- a/modules/berylcrank_gateway/http/message_head.cpp
+++ b/modules/berylcrank_gateway/http/message_head.cpp
@@ -19,9 +19,9 @@
 }
 
 bool is_connection_header(std::string_view name) {
-    static constexpr std::array<std::string_view, 9> names{"Connection", "Keep-Alive",          "Transfer-Encoding",
-                                                           "TE",         "Trailer",             "Upgrade",
-                                                           "Proxy-Connection", "Content-Length", "Expect"};
+    static constexpr std::array<std::string_view, 9> names{
+        "Connection", "Keep-Alive",       "Transfer-Encoding", "TE",    "Trailer",
+        "Upgrade",    "Proxy-Connection", "Content-Length",    "Expect"};
     for (const auto it : names) {
         if (same_header(it, name)) {
             return true;
--- a/modules/berylcrank_gateway/http/message_parser.h
+++ b/modules/berylcrank_gateway/http/message_parser.h
@@ -9,8 +9,8 @@
 
 namespace berylcrank {
 
-/** Incremental parser of one HTTP/1.1 message on top of Boost.Beast: keeps the head and hands over the body in
-    the order of arrival.
+/** Incremental parser of one HTTP/1.1 message on top of Boost.Beast: keeps the head and hands over the body
+   in the order of arrival.
 
     @see request_head, response_head
 */
@@ -27,8 +27,8 @@
     head_type head;
     std::string body; ///< What arrived since the owner last emptied it.
 
-    /** Parses as much of `bytes` as belongs to this message. Returns the number of bytes used, which is all of them
-        unless the message ends before; `ec` is set if they are not a proper message. */
+    /** Parses as much of `bytes` as belongs to this message. Returns the number of bytes used, which is all
+       of them unless the message ends before; `ec` is set if they are not a proper message. */
     std::size_t feed(std::string_view bytes, boost::beast::error_code& ec) {
         if (carry_.empty()) {
             const auto used = parse(bytes, ec);
@@ -70,8 +70,8 @@
     using string_view = boost::beast::string_view;
     using error_code = boost::beast::error_code;
 
-    void on_request_impl(boost::beast::http::verb /*method*/, string_view method, string_view target, int version,
-                         error_code& ec) override {
+    void on_request_impl(boost::beast::http::verb /*method*/, string_view method, string_view target,
+                         int version, error_code& ec) override {
         ec = {};
         if constexpr (is_request) {
             head.method.assign(method.data(), method.size());
@@ -91,7 +91,8 @@
     void on_field_impl(boost::beast::http::field /*field*/, string_view name, string_view value,
                        error_code& ec) override {
         ec = {};
-        head.headers.emplace_back(std::string(name.data(), name.size()), std::string(value.data(), value.size()));
+        head.headers.emplace_back(std::string(name.data(), name.size()),
+                                  std::string(value.data(), value.size()));
     }
 
     void on_header_impl(error_code& ec) override {
@@ -104,7 +105,9 @@
         }
     }
 
-    void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/, error_code& ec) override { ec = {}; }
+    void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/, error_code& ec) override {
+        ec = {};
+    }
 
     std::size_t on_body_impl(string_view bytes, error_code& ec) override {
         ec = {};
--- a/modules/berylcrank_gateway/log/event_log.cpp
+++ b/modules/berylcrank_gateway/log/event_log.cpp
@@ -64,7 +64,8 @@
 
 log_line& log_line::field(std::string_view name, bool value) {
     if (log_ != nullptr) {
-        absl::StrAppend(&text_, ",\"", absl::string_view(name.data(), name.size()), "\":", value ? "true" : "false");
+        absl::StrAppend(&text_, ",\"", absl::string_view(name.data(), name.size()),
+                        "\":", value ? "true" : "false");
     }
     return *this;
 }
@@ -76,7 +77,8 @@
     }
 }
 
-event_log::event_log(int fd, std::string node, const clock& time) : fd_(fd), node_(std::move(node)), time_(time) {
+event_log::event_log(int fd, std::string node, const clock& time)
+    : fd_(fd), node_(std::move(node)), time_(time) {
     fcntl(fd_, F_SETFL, fcntl(fd_, F_GETFL, 0) | O_NONBLOCK);
 }
 
--- a/modules/berylcrank_gateway/log/event_log.h
+++ b/modules/berylcrank_gateway/log/event_log.h
@@ -20,11 +20,15 @@
     log_line(event_log* log, std::string text) : log_(log), text_(std::move(text)) {}
 
     log_line& field(std::string_view name, std::string_view value);
-    log_line& field(std::string_view name, const std::string& value) { return field(name, std::string_view(value)); }
+    log_line& field(std::string_view name, const std::string& value) {
+        return field(name, std::string_view(value));
+    }
     log_line& field(std::string_view name, const char* value) { return field(name, std::string_view(value)); }
     log_line& field(std::string_view name, std::int64_t value);
     log_line& field(std::string_view name, std::uint64_t value);
-    log_line& field(std::string_view name, int value) { return field(name, static_cast<std::int64_t>(value)); }
+    log_line& field(std::string_view name, int value) {
+        return field(name, static_cast<std::int64_t>(value));
+    }
     log_line& field(std::string_view name, double value);
     log_line& field(std::string_view name, bool value);
 
@@ -38,9 +42,9 @@
 
 /** Structured log: JSON objects, one a line, on a file descriptor.
 
-    Each kind of line has its own rate limit; what was left out is counted and stated in the next line of that kind.
-    Lines are kept in memory until `flush`, which writes as much as the descriptor takes and never blocks; beyond a
-    bound, lines are dropped and counted.
+    Each kind of line has its own rate limit; what was left out is counted and stated in the next line of that
+   kind. Lines are kept in memory until `flush`, which writes as much as the descriptor takes and never
+   blocks; beyond a bound, lines are dropped and counted.
 */
 class event_log {
 public:
--- a/modules/berylcrank_gateway/node/gateway_node.cpp
+++ b/modules/berylcrank_gateway/node/gateway_node.cpp
@@ -7,18 +7,19 @@
 
 namespace {
 
-constexpr millis sweep_interval{500};      // between checks of idle connections and silent nodes
-constexpr millis pause_noticed{1500};      // a longer gap between ticks is reported as a pause of the process
-constexpr millis pull_limit{600};          // for a question to another node
+constexpr millis sweep_interval{500}; // between checks of idle connections and silent nodes
+constexpr millis pause_noticed{1500}; // a longer gap between ticks is reported as a pause of the process
+constexpr millis pull_limit{600};     // for a question to another node
 constexpr std::size_t max_state = 64U << 20U; // bytes of an answer with records
-constexpr std::size_t greeted_distant = 5; // nodes of other failure domains that a new node greets
-constexpr std::size_t near_fanout = 2;     // nodes of the own failure domain that a roster goes to
-constexpr std::size_t distant_fanout = 3;  // nodes of others that the first node of a cell sends its roster to
-constexpr millis list_patience{1500};      // for which a new node waits for the list of nodes before it reads records
-constexpr std::size_t cell_fetchers = 2;   // nodes of a cell that fetch records from outside it at once
-constexpr millis cell_spread{150};         // over which the nodes of a cell fetch from each other
-constexpr millis cell_patience{250};       // for which the others wait for them
-constexpr std::size_t known_in_hello = 8;  // addresses of other nodes in a message
+constexpr std::size_t greeted_distant = 5;    // nodes of other failure domains that a new node greets
+constexpr std::size_t near_fanout = 2;        // nodes of the own failure domain that a roster goes to
+constexpr std::size_t distant_fanout = 3; // nodes of others that the first node of a cell sends its roster to
+constexpr millis list_patience{
+    1500}; // for which a new node waits for the list of nodes before it reads records
+constexpr std::size_t cell_fetchers = 2;  // nodes of a cell that fetch records from outside it at once
+constexpr millis cell_spread{150};        // over which the nodes of a cell fetch from each other
+constexpr millis cell_patience{250};      // for which the others wait for them
+constexpr std::size_t known_in_hello = 8; // addresses of other nodes in a message
 constexpr millis first_announce_retry{300};
 constexpr millis longest_announce_retry{2000};
 
@@ -26,22 +27,25 @@
 
 gateway_node::gateway_node(boost::asio::io_context& io, const clock& time, const wire_format& wire,
                            metadata_store& store, event_log& log, const gateway_options& options)
-    : io_(io), time_(time), log_(log), store_(store), node_(io, time, wire, log, options, entropy()), gateway_(node_),
-      prober_(io, node_), follower_(store, time, log, {}, node_.peers.self_number(), options.self.incarnation,
-                                    [this](record_source source, const state_record& it, bool after_outage) {
-                                        return take_record(source, it, after_outage);
-                                    }),
-      peer_calls_(io, time, max_state),
-      gossip_(io, options.self.ip, options.self.gossip_port, time, [this](const node_message& it) { hear(it); }),
-      ready_handler_(node_, [this] { return ready(); }), directory_handler_(node_, [this] { return ready(); }),
-      state_handler_(node_, follower_), control_handler_(node_, follower_), timer_(io), started_(time.now()), last_tick_(started_) {
+    : io_(io), time_(time), log_(log), store_(store), node_(io, time, wire, log, options, entropy()),
+      gateway_(node_), prober_(io, node_),
+      follower_(store, time, log, {}, node_.peers.self_number(), options.self.incarnation,
+                [this](record_source source, const state_record& it, bool after_outage) {
+                    return take_record(source, it, after_outage);
+                }),
+      peer_calls_(io, time, max_state), gossip_(io, options.self.ip, options.self.gossip_port, time,
+                                                [this](const node_message& it) { hear(it); }),
+      ready_handler_(node_, [this] { return ready(); }),
+      directory_handler_(node_, [this] { return ready(); }), state_handler_(node_, follower_),
+      control_handler_(node_, follower_), timer_(io), started_(time.now()), last_tick_(started_) {
     const auto listen = [&](const std::string& address, request_handler& handler) -> http_listener* {
         if (address.empty()) {
             return nullptr;
         }
         listeners_.push_back(std::make_unique<http_listener>(
-            io, address,
-            connection_context{time, handler, [this]() -> const ingress_limits& { return node_.routes.limits(); }}));
+            io, address, connection_context{time, handler, [this]() -> const ingress_limits& {
+                                                return node_.routes.limits();
+                                            }}));
         return listeners_.back().get();
     };
     front_ = listen(options.front_address, gateway_);
@@ -308,7 +312,10 @@
                              .blind = it.blind};
     if (it.self) {
         if (node_.peers.heard(*it.self, state, now)) {
-            log_.line("peer-heard").field("peer", it.self->name).field("incarnation", it.self->incarnation).send();
+            log_.line("peer-heard")
+                .field("peer", it.self->name)
+                .field("incarnation", it.self->incarnation)
+                .send();
         }
     } else if (!node_.peers.alive(state, now)) {
         return; // its address follows with its next hello
@@ -387,7 +394,8 @@
                                .target = state_target(ends)};
     peer_calls_.call(request, pull_limit, [this, name = from.info.name](const call_result& result) {
         pulling_ = false;
-        const auto answer = result.answered && result.head.status == 200 ? decode_state(result.body) : std::nullopt;
+        const auto answer =
+            result.answered && result.head.status == 200 ? decode_state(result.body) : std::nullopt;
         if (!answer) {
             node_.metrics.event("pull-failed");
             log_.line("pull-failed").field("peer", name).send();
@@ -400,7 +408,8 @@
 }
 
 bool gateway_node::take_record(record_source source, const state_record& it, bool after_outage) {
-    return source == record_source::operators ? take_operator_record(it) : take_upstream_record(it, after_outage);
+    return source == record_source::operators ? take_operator_record(it)
+                                              : take_upstream_record(it, after_outage);
 }
 
 bool gateway_node::take_operator_record(const state_record& it) {
@@ -414,7 +423,9 @@
             }
         }
         node_.upstreams.set_evacuated(domain, !it.removed, warm_up, time_.now());
-        log_.line(it.removed ? "domain-taken-back" : "domain-evacuated").field("failure_domain", domain).send();
+        log_.line(it.removed ? "domain-taken-back" : "domain-evacuated")
+            .field("failure_domain", domain)
+            .send();
         return true;
     }
     if (kind != operator_record::configuration || it.removed) {
--- a/modules/berylcrank_gateway/node/gateway_node.h
+++ b/modules/berylcrank_gateway/node/gateway_node.h
@@ -11,10 +11,11 @@
 
 namespace berylcrank {
 
-/** A node that serves callers of a platform deployment: listeners, messages to other nodes, duties at the store.
+/** A node that serves callers of a platform deployment: listeners, messages to other nodes, duties at the
+   store.
 
-    Runs in one thread, since the machines give a process one core and let one thread run at a time; what the parts
-    share is node_state.
+    Runs in one thread, since the machines give a process one core and let one thread run at a time; what the
+   parts share is node_state.
     @see gateway, state_follower, prober
 */
 class gateway_node {
@@ -26,8 +27,8 @@
     /** Taken off the grace for the end of the process itself. */
     static constexpr millis stop_margin{700};
 
-    gateway_node(boost::asio::io_context& io, const clock& time, const wire_format& wire, metadata_store& store,
-                 event_log& log, const gateway_options& options);
+    gateway_node(boost::asio::io_context& io, const clock& time, const wire_format& wire,
+                 metadata_store& store, event_log& log, const gateway_options& options);
 
     /** Begins a planned stop: finishes what was read and ends `io` within the grace. */
     void stop();
--- a/modules/berylcrank_gateway/node/node_handlers.cpp
+++ b/modules/berylcrank_gateway/node/node_handlers.cpp
@@ -20,8 +20,10 @@
     if (at == std::string::npos) {
         return {};
     }
-    for (const absl::string_view part : absl::StrSplit(absl::string_view(it.head.target).substr(at + 1), '&')) {
-        const std::pair<absl::string_view, absl::string_view> pair = absl::StrSplit(part, absl::MaxSplits('=', 1));
+    for (const absl::string_view part :
+         absl::StrSplit(absl::string_view(it.head.target).substr(at + 1), '&')) {
+        const std::pair<absl::string_view, absl::string_view> pair =
+            absl::StrSplit(part, absl::MaxSplits('=', 1));
         if (pair.first == absl::string_view(name.data(), name.size())) {
             return std::string(pair.second);
         }
@@ -102,22 +104,24 @@
 void control_handler::handle(const exchange_ptr& it) {
     const auto now = node_.time.now();
     if (path_of(*it) == "/metrics") {
-        node_.metrics.level("operators_age_seconds", follower_.age(record_source::operators, now).value() / 1000);
-        node_.metrics.level("upstreams_age_seconds", follower_.age(record_source::upstreams, now).value() / 1000);
+        node_.metrics.level("operators_age_seconds",
+                            follower_.age(record_source::operators, now).value() / 1000);
+        node_.metrics.level("upstreams_age_seconds",
+                            follower_.age(record_source::upstreams, now).value() / 1000);
         node_.metrics.level("config_version", static_cast<double>(node_.routes.version()));
         node_.metrics.level("live_nodes", static_cast<double>(node_.peers.live(now).size() + 1));
         node_.metrics.level("upstreams", static_cast<double>(node_.upstreams.all().size()));
         node_.metrics.level("waiting_requests", static_cast<double>(node_.waiting.size()));
         node_.metrics.level("log_lines_left_out", static_cast<double>(node_.log.left_out()));
-        it->respond(200, reason_phrase(200), {{"Content-Type", "text/plain; version=0.0.4"}}, node_.metrics.text());
+        it->respond(200, reason_phrase(200), {{"Content-Type", "text/plain; version=0.0.4"}},
+                    node_.metrics.text());
         return;
     }
     if (path_of(*it) == "/status") {
         it->respond(200, reason_phrase(200), {{"Content-Type", "application/json"}},
                     absl::StrCat("{\"version\":", node_.routes.version(),
-                                 ",\"upstreams\":", node_.upstreams.all().size(),
-                                 ",\"nodes\":", node_.peers.live(now).size() + 1,
-                                 ",\"waiting\":", node_.waiting.size(),
+                                 ",\"upstreams\":", node_.upstreams.all().size(), ",\"nodes\":",
+                                 node_.peers.live(now).size() + 1, ",\"waiting\":", node_.waiting.size(),
                                  ",\"store_lost\":", follower_.store_lost() ? "true" : "false", "}\n"));
         return;
     }
--- a/modules/berylcrank_gateway/node/node_handlers.h
+++ b/modules/berylcrank_gateway/node/node_handlers.h
@@ -19,8 +19,8 @@
     std::function<bool()> ready_;
 };
 
-/** Tells callers the addresses of the nodes to which they may connect: live ones, those in the caller's failure
-    domain if there are enough of them. */
+/** Tells callers the addresses of the nodes to which they may connect: live ones, those in the caller's
+   failure domain if there are enough of them. */
 class directory_handler final : public request_handler {
 public:
     /** Live nodes in a failure domain from which its callers are sent there only. */
@@ -28,7 +28,8 @@
     /** Addresses that an answer may hold. */
     static constexpr std::size_t max_addresses = 64;
 
-    directory_handler(node_state& node, std::function<bool()> ready) : node_(node), ready_(std::move(ready)) {}
+    directory_handler(node_state& node, std::function<bool()> ready)
+        : node_(node), ready_(std::move(ready)) {}
     void handle(const exchange_ptr& it) override;
 
     /** The addresses for a caller in `failure_domain`. */
--- a/modules/berylcrank_gateway/peers/gossip_link.cpp
+++ b/modules/berylcrank_gateway/peers/gossip_link.cpp
@@ -15,8 +15,8 @@
 
 } // namespace
 
-gossip_link::gossip_link(boost::asio::io_context& io, const std::string& ip, std::uint16_t port, const clock& time,
-                         handler received)
+gossip_link::gossip_link(boost::asio::io_context& io, const std::string& ip, std::uint16_t port,
+                         const clock& time, handler received)
     : socket_(io, address(ip, port)), time_(time), received_(std::move(received)) {
     socket_.non_blocking(true);
 }
--- a/modules/berylcrank_gateway/peers/gossip_link.h
+++ b/modules/berylcrank_gateway/peers/gossip_link.h
@@ -10,8 +10,8 @@
 
 namespace berylcrank {
 
-/** Datagrams between nodes. Sends and receives many with one system call; the owner polls, so that datagrams do not
-    wake the process one by one.
+/** Datagrams between nodes. Sends and receives many with one system call; the owner polls, so that datagrams
+   do not wake the process one by one.
 
     @see node_message
 */
@@ -20,7 +20,8 @@
     using handler = std::function<void(const node_message&)>;
     using endpoint = boost::asio::ip::udp::endpoint;
 
-    /** Binds `ip`:`port`. Throws boost::system::system_error. `received` runs for each message that can be read. */
+    /** Binds `ip`:`port`. Throws boost::system::system_error. `received` runs for each message that can be
+     * read. */
     gossip_link(boost::asio::io_context& io, const std::string& ip, std::uint16_t port, const clock& time,
                 handler received);
 
--- a/modules/berylcrank_gateway/peers/node_message.cpp
+++ b/modules/berylcrank_gateway/peers/node_message.cpp
@@ -18,7 +18,8 @@
 
 template <typename Number>
 Number clamped(double value) {
-    return static_cast<Number>(std::clamp(value, 0.0, static_cast<double>(std::numeric_limits<Number>::max())));
+    return static_cast<Number>(
+        std::clamp(value, 0.0, static_cast<double>(std::numeric_limits<Number>::max())));
 }
 
 std::string packed(capnp::MessageBuilder& it) {
@@ -28,7 +29,8 @@
     return {bytes.begin(), bytes.size()};
 }
 
-// Deflated bytes behind their inflated size: a configuration of a thousand routes takes a seventh on a small link.
+// Deflated bytes behind their inflated size: a configuration of a thousand routes takes a seventh on a small
+// link.
 std::string deflated(const std::string& bytes) {
     uLongf n = compressBound(bytes.size());
     std::string result(size_bytes + n, '\0');
@@ -54,7 +56,8 @@
     std::string result(size, '\0');
     uLongf n = size;
     if (uncompress(reinterpret_cast<Bytef*>(result.data()), &n,
-                   reinterpret_cast<const Bytef*>(bytes.data() + size_bytes), bytes.size() - size_bytes) != Z_OK ||
+                   reinterpret_cast<const Bytef*>(bytes.data() + size_bytes),
+                   bytes.size() - size_bytes) != Z_OK ||
         n != size) {
         return std::nullopt;
     }
@@ -111,8 +114,12 @@
 }
 
 state_mark read_mark(schema::StateMark::Reader it) {
-    return {.complete = it.getComplete(), .end = it.getEnd(), .age = millis{it.getAgeMs()},
-            .reader = it.getReader(), .read = it.getRead(), .changed = it.getChanged()};
+    return {.complete = it.getComplete(),
+            .end = it.getEnd(),
+            .age = millis{it.getAgeMs()},
+            .reader = it.getReader(),
+            .read = it.getRead(),
+            .changed = it.getChanged()};
 }
 
 void write(schema::LoadNews::Builder to, const load_news& it, instant now) {
@@ -135,9 +142,10 @@
 }
 
 load_news read_news(schema::LoadNews::Reader it, instant now) {
-    load_news result{.upstream = it.getUpstream(),
-                     .outcomes = {.good = static_cast<double>(it.getGood()), .bad = static_cast<double>(it.getBad())},
-                     .unreachable = it.getUnreachable()};
+    load_news result{
+        .upstream = it.getUpstream(),
+        .outcomes = {.good = static_cast<double>(it.getGood()), .bad = static_cast<double>(it.getBad())},
+        .unreachable = it.getUnreachable()};
     if (it.getHasCold()) {
         result.cold_left = millis{it.getColdLeftMs()};
     }
@@ -226,7 +234,8 @@
 
 std::optional<node_message> decode_message(std::string_view bytes, instant now) {
     std::optional<node_message> result;
-    unpack<schema::NodeMessage>(bytes, [&](schema::NodeMessage::Reader it) { result = read_message(it, now); });
+    unpack<schema::NodeMessage>(bytes,
+                                [&](schema::NodeMessage::Reader it) { result = read_message(it, now); });
     return result;
 }
 
--- a/modules/berylcrank_gateway/peers/node_message.h
+++ b/modules/berylcrank_gateway/peers/node_message.h
@@ -16,7 +16,7 @@
 struct state_mark {
     bool complete{false};
     std::uint64_t end{0};
-    millis age; ///< How long ago `end` was known to be the store's end.
+    millis age;               ///< How long ago `end` was known to be the store's end.
     std::uint64_t reader{0};  ///< Node whose read of the store confirmed `end`.
     std::uint64_t read{0};    ///< Number of that read; grows with each read of that node.
     std::uint64_t changed{0}; ///< Offset behind the last record that changed what the node believes.
--- a/modules/berylcrank_gateway/server/exchange.cpp
+++ b/modules/berylcrank_gateway/server/exchange.cpp
@@ -65,7 +65,8 @@
         push(bytes);
         return;
     }
-    push(absl::StrCat(absl::Hex(bytes.size()), "\r\n", absl::string_view(bytes.data(), bytes.size()), "\r\n"));
+    push(
+        absl::StrCat(absl::Hex(bytes.size()), "\r\n", absl::string_view(bytes.data(), bytes.size()), "\r\n"));
 }
 
 void exchange::finish() {
@@ -79,7 +80,8 @@
     push("");
 }
 
-void exchange::respond(int status, std::string_view reason, const header_list& headers, std::string_view content) {
+void exchange::respond(int status, std::string_view reason, const header_list& headers,
+                       std::string_view content) {
     begin(status, reason, headers, content.size());
     append(content);
     finish();
--- a/modules/berylcrank_gateway/server/exchange.h
+++ b/modules/berylcrank_gateway/server/exchange.h
@@ -11,15 +11,17 @@
 
 class server_connection;
 
-/** One request of a caller and the way its response goes back. Responses of one connection leave in the order of
-    the requests, whatever the order in which they are made.
+/** One request of a caller and the way its response goes back. Responses of one connection leave in the order
+   of the requests, whatever the order in which they are made.
 
     @see server_connection, request_handler
 */
 class exchange : public std::enable_shared_from_this<exchange> {
 public:
-    exchange(std::shared_ptr<server_connection> connection, request_head request, std::string content, instant when)
-        : head(std::move(request)), body(std::move(content)), received(when), connection_(std::move(connection)) {}
+    exchange(std::shared_ptr<server_connection> connection, request_head request, std::string content,
+             instant when)
+        : head(std::move(request)), body(std::move(content)), received(when),
+          connection_(std::move(connection)) {}
 
     const request_head head;
     const std::string body;
--- a/modules/berylcrank_gateway/server/http_listener.cpp
+++ b/modules/berylcrank_gateway/server/http_listener.cpp
@@ -27,7 +27,8 @@
     return {ip, static_cast<std::uint16_t>(port)};
 }
 
-http_listener::http_listener(boost::asio::io_context& io, const std::string& address, connection_context context)
+http_listener::http_listener(boost::asio::io_context& io, const std::string& address,
+                             connection_context context)
     : context_(std::move(context)), acceptor_(io) {
     const auto endpoint = parse_endpoint(address);
     acceptor_.open(endpoint.protocol());
--- a/modules/berylcrank_gateway/server/http_listener.h
+++ b/modules/berylcrank_gateway/server/http_listener.h
@@ -14,7 +14,8 @@
 */
 class http_listener {
 public:
-    /** Listens at `address` ("IP:PORT"). Throws boost::system::system_error if the address cannot be taken. */
+    /** Listens at `address` ("IP:PORT"). Throws boost::system::system_error if the address cannot be taken.
+     */
     http_listener(boost::asio::io_context& io, const std::string& address, connection_context context);
 
     /** Closes connections that are idle or slow; `close_idle` closes all that wait for a request. */
--- a/modules/berylcrank_gateway/server/server_connection.cpp
+++ b/modules/berylcrank_gateway/server/server_connection.cpp
@@ -105,8 +105,8 @@
     auto parser = std::move(parser_);
     reading_message_ = false;
     no_more_requests_ = !parser->head.keep_alive;
-    const auto it = std::make_shared<exchange>(shared_from_this(), std::move(parser->head), std::move(parser->body),
-                                               context_.time.now());
+    const auto it = std::make_shared<exchange>(shared_from_this(), std::move(parser->head),
+                                               std::move(parser->body), context_.time.now());
     pipeline_.push_back(it);
     context_.handler.handle(it);
 }
@@ -115,8 +115,8 @@
     parser_.reset();
     reading_message_ = false;
     no_more_requests_ = true;
-    const auto it =
-        std::make_shared<exchange>(shared_from_this(), request_head{.keep_alive = false}, "", context_.time.now());
+    const auto it = std::make_shared<exchange>(shared_from_this(), request_head{.keep_alive = false}, "",
+                                               context_.time.now());
     pipeline_.push_back(it);
     it->respond(status, reason_phrase(status), {}, "");
 }
--- a/modules/berylcrank_gateway/server/server_connection.h
+++ b/modules/berylcrank_gateway/server/server_connection.h
@@ -69,7 +69,7 @@
     socket_writer writer_;
     std::unique_ptr<request_parser> parser_;
     std::deque<exchange_ptr> pipeline_;
-    std::string unread_;       // bytes that arrived beyond the pipeline's limit
+    std::string unread_; // bytes that arrived beyond the pipeline's limit
     instant last_activity_;
     bool open_{true};
     bool waiting_{false};
--- a/modules/berylcrank_gateway/state/metadata_store.h
+++ b/modules/berylcrank_gateway/state/metadata_store.h
@@ -29,8 +29,8 @@
     bool more{false};     ///< The source has further records.
 };
 
-/** The platform's store, as far as a node uses it. Calls return at once; handlers run from the event loop, once,
-    within a time limit of the implementation.
+/** The platform's store, as far as a node uses it. Calls return at once; handlers run from the event loop,
+   once, within a time limit of the implementation.
 
     @see state_follower
 */
--- a/modules/berylcrank_gateway/state/state_follower.cpp
+++ b/modules/berylcrank_gateway/state/state_follower.cpp
@@ -10,7 +10,7 @@
     return it == record_source::operators ? "operators" : "upstreams";
 }
 
-constexpr unsigned read_bits = 20; // reads of one start, within the number of a read
+constexpr unsigned read_bits = 20;  // reads of one start, within the number of a read
 constexpr millis lapse_window{700}; // after an outage, removals that the first reads bring
 
 } // namespace
@@ -29,15 +29,20 @@
     return "unknown";
 }
 
-state_follower::state_follower(metadata_store& store, const clock& time, event_log& log, follower_options options,
-                               std::uint64_t self, std::uint64_t incarnation, change_handler changed)
-    : store_(store), time_(time), log_(log), options_(options),
-      follows_{follow{.book = record_book([this, changed](const state_record& it) {
-                   return changed(record_source::operators, it, time_.now() < of(record_source::operators).outage_over);
-               })},
-               follow{.book = record_book([this, changed](const state_record& it) {
-                   return changed(record_source::upstreams, it, time_.now() < of(record_source::upstreams).outage_over);
-               })}},
+state_follower::state_follower(metadata_store& store, const clock& time, event_log& log,
+                               follower_options options, std::uint64_t self, std::uint64_t incarnation,
+                               change_handler changed)
+    : store_(store), time_(time), log_(log),
+      options_(options), follows_{follow{.book = record_book([this, changed](const state_record& it) {
+                                             return changed(record_source::operators, it,
+                                                            time_.now() <
+                                                                of(record_source::operators).outage_over);
+                                         })},
+                                  follow{.book = record_book([this, changed](const state_record& it) {
+                                             return changed(record_source::upstreams, it,
+                                                            time_.now() <
+                                                                of(record_source::upstreams).outage_over);
+                                         })}},
       started_(time.now()), self_(self), next_read_(incarnation << read_bits) {}
 
 bool state_follower::due(record_source source, std::size_t rank, instant now) const {
@@ -72,7 +77,8 @@
     auto& it = of(source);
     it.reading = true;
     if (it.read_everything) {
-        store_.read_all(source, [this, source, now](const store_read& answer) { took(source, answer, true, now); });
+        store_.read_all(source,
+                        [this, source, now](const store_read& answer) { took(source, answer, true, now); });
         return;
     }
     const auto wait = source == record_source::operators ? options_.operators_wait : millis{};
@@ -174,7 +180,8 @@
     }
 }
 
-state_answer state_follower::give(const std::array<std::uint64_t, record_source_count>& from, instant now) const {
+state_answer state_follower::give(const std::array<std::uint64_t, record_source_count>& from,
+                                  instant now) const {
     state_answer result;
     const auto own = marks(now);
     for (std::size_t i = 0; i < record_source_count; ++i) {
@@ -190,8 +197,12 @@
     std::array<state_mark, record_source_count> result;
     for (std::size_t i = 0; i < record_source_count; ++i) {
         const auto& book = follows_[i].book;
-        result[i] = {.complete = book.complete(), .end = book.end(), .age = now - book.confirmed(),
-                     .reader = follows_[i].reader, .read = follows_[i].read, .changed = book.changed()};
+        result[i] = {.complete = book.complete(),
+                     .end = book.end(),
+                     .age = now - book.confirmed(),
+                     .reader = follows_[i].reader,
+                     .read = follows_[i].read,
+                     .changed = book.changed()};
     }
     return result;
 }
--- a/modules/berylcrank_gateway/state/state_follower.h
+++ b/modules/berylcrank_gateway/state/state_follower.h
@@ -13,25 +13,28 @@
 
 /** Times of a follower. */
 struct follower_options {
-    millis operators_wait{900};    ///< How long a read of the operators' records may wait at the store.
-    millis upstreams_interval{450};///< Age of the upstreams' records at which the first node reads them again.
-    millis first_read{150};        ///< For which a new node waits for the records of another node.
-    millis rank_step{350};         ///< Added per place in the order of the nodes, up to `ranks`.
-    int ranks{4};                  ///< Places of which one can usually read the store.
-    millis late_rank_step{150};    ///< Added per place beyond: an outage of the store must not make all nodes call it.
-    millis first_retry{250};       ///< Pause after a failed read; doubles.
+    millis operators_wait{900}; ///< How long a read of the operators' records may wait at the store.
+    millis upstreams_interval{
+        450};               ///< Age of the upstreams' records at which the first node reads them again.
+    millis first_read{150}; ///< For which a new node waits for the records of another node.
+    millis rank_step{350};  ///< Added per place in the order of the nodes, up to `ranks`.
+    int ranks{4};           ///< Places of which one can usually read the store.
+    millis late_rank_step{
+        150}; ///< Added per place beyond: an outage of the store must not make all nodes call it.
+    millis first_retry{250}; ///< Pause after a failed read; doubles.
     millis longest_retry{1200};
-    millis message_delay{20};      ///< Taken off what another node vouches for: its message was on the way.
-    millis outage{1500};           ///< Age from which a return of the store counts as the end of an outage.
+    millis message_delay{20}; ///< Taken off what another node vouches for: its message was on the way.
+    millis outage{1500};      ///< Age from which a return of the store counts as the end of an outage.
 };
 
 /** Keeps this node's copy of the store's records current with few calls.
 
-    Every node knows from the others' messages how current their copies are, and pulls what it lacks from them. A node
-    reads the store itself only when no copy has been confirmed for longer than its place in the order of nodes
-    allows; so the first node reads, the second takes over when the first fails, and two that read at once do no
-    harm. A read vouches for the copies of all nodes once: its word is not renewed by passing it on, or delays on the way
-    would add up until nobody reads. No node holds a duty that it could lose without noticing.
+    Every node knows from the others' messages how current their copies are, and pulls what it lacks from
+   them. A node reads the store itself only when no copy has been confirmed for longer than its place in the
+   order of nodes allows; so the first node reads, the second takes over when the first fails, and two that
+   read at once do no harm. A read vouches for the copies of all nodes once: its word is not renewed by
+   passing it on, or delays on the way would add up until nobody reads. No node holds a duty that it could
+   lose without noticing.
     @see record_book, metadata_store
 */
 class state_follower {
@@ -53,7 +56,8 @@
     void merge(const state_answer& answer, instant now);
 
     /** What this node can give to one whose copies end at the offsets `from`. */
-    [[nodiscard]] state_answer give(const std::array<std::uint64_t, record_source_count>& from, instant now) const;
+    [[nodiscard]] state_answer give(const std::array<std::uint64_t, record_source_count>& from,
+                                    instant now) const;
 
     [[nodiscard]] std::array<state_mark, record_source_count> marks(instant now) const;
     [[nodiscard]] std::uint64_t end(record_source source) const { return of(source).book.end(); }
@@ -61,7 +65,9 @@
     /** Reads of the store by this node that succeeded. */
     [[nodiscard]] std::uint64_t own_reads() const { return next_read_; }
     /** Age of the copy of a source. */
-    [[nodiscard]] millis age(record_source source, instant now) const { return now - of(source).book.confirmed(); }
+    [[nodiscard]] millis age(record_source source, instant now) const {
+        return now - of(source).book.confirmed();
+    }
     /** Whether the store counts as unreachable for all nodes. */
     [[nodiscard]] bool store_lost() const { return lost_; }
 
@@ -79,7 +85,9 @@
     };
 
     follow& of(record_source source) { return follows_[static_cast<std::size_t>(source)]; }
-    [[nodiscard]] const follow& of(record_source source) const { return follows_[static_cast<std::size_t>(source)]; }
+    [[nodiscard]] const follow& of(record_source source) const {
+        return follows_[static_cast<std::size_t>(source)];
+    }
     [[nodiscard]] bool due(record_source source, std::size_t rank, instant now) const;
     void read(record_source source, instant now);
     void took(record_source source, const store_read& it, bool everything, instant vouched);
--- a/program/command/gateway_command.cpp
+++ b/program/command/gateway_command.cpp
@@ -19,7 +19,8 @@
 class signal_watch {
 public:
     signal_watch(boost::asio::io_context& io, gateway_node& node, event_log& log, std::string settings_path)
-        : signals_(io, SIGTERM, SIGINT, SIGHUP), node_(node), log_(log), settings_path_(std::move(settings_path)) {
+        : signals_(io, SIGTERM, SIGINT, SIGHUP), node_(node), log_(log),
+          settings_path_(std::move(settings_path)) {
         wait();
     }
 
@@ -42,7 +43,9 @@
         boost::leaf::try_handle_all(
             [&]() -> boost::leaf::result<void> {
                 BOOST_LEAF_AUTO(it, read_settings_file(settings_path_));
-                log_.line("reloaded").field("seeds", static_cast<std::uint64_t>(it.gateway.seed_ips.size())).send();
+                log_.line("reloaded")
+                    .field("seeds", static_cast<std::uint64_t>(it.gateway.seed_ips.size()))
+                    .send();
                 node_.set_seeds(std::move(it.gateway.seed_ips));
                 return {};
             },
@@ -73,9 +76,10 @@
 } // namespace
 
 exit_code gateway_command::run(std::vector<std::string> arguments) {
-    TCLAP::CmdLine line("Runs a node of a platform deployment. SIGTERM is a planned stop; SIGHUP reads the settings "
-                        "again. Structured log lines go to standard output.",
-                        ' ', BERYLCRANK_VERSION);
+    TCLAP::CmdLine line(
+        "Runs a node of a platform deployment. SIGTERM is a planned stop; SIGHUP reads the settings "
+        "again. Structured log lines go to standard output.",
+        ' ', BERYLCRANK_VERSION);
     line.setExceptionHandling(false);
     TCLAP::ValueArg<std::string> settings_path(
         "s", "settings", "settings file of the platform; without it, the file that the platform names", false,
--- a/standins/platform_store/store_handler.cpp
+++ b/standins/platform_store/store_handler.cpp
@@ -23,7 +23,8 @@
     if (at == std::string::npos) {
         return {};
     }
-    for (const absl::string_view part : absl::StrSplit(absl::string_view(it.head.target).substr(at + 1), '&')) {
+    for (const absl::string_view part :
+         absl::StrSplit(absl::string_view(it.head.target).substr(at + 1), '&')) {
         const std::pair<std::string, std::string> pair = absl::StrSplit(part, absl::MaxSplits('=', 1));
         if (pair.first == name) {
             return pair.second;
--- a/standins/platform_store/store_handler.h
+++ b/standins/platform_store/store_handler.h
@@ -11,8 +11,9 @@
 
 /** Answers the calls of the platform's store that berylcrank uses, and a test's wishes for faults.
 
-    `POST /control?outage=none|refuse|silent|lost` sets a fault, `POST /control?trim=TOPIC` drops a topic's history,
-    `POST /put?topic=T&key=K` writes a keyed record (an empty body drops the key), `GET /calls` counts calls.
+    `POST /control?outage=none|refuse|silent|lost` sets a fault, `POST /control?trim=TOPIC` drops a topic's
+   history, `POST /put?topic=T&key=K` writes a keyed record (an empty body drops the key), `GET /calls` counts
+   calls.
 */
 class store_handler final : public request_handler {
 public:
--- a/standins/platform_store/topic_log.cpp
+++ b/standins/platform_store/topic_log.cpp
@@ -55,8 +55,9 @@
         if (bytes.size() < length_bytes) {
             return std::nullopt;
         }
-        const std::size_t n = boost::endian::endian_load<std::uint32_t, length_bytes, boost::endian::order::big>(
-            reinterpret_cast<const unsigned char*>(bytes.data()));
+        const std::size_t n =
+            boost::endian::endian_load<std::uint32_t, length_bytes, boost::endian::order::big>(
+                reinterpret_cast<const unsigned char*>(bytes.data()));
         bytes.remove_prefix(length_bytes);
         if (n > bytes.size()) {
             return std::nullopt;
--- a/standins/platform_worker/worker.cpp
+++ b/standins/platform_worker/worker.cpp
@@ -28,7 +28,8 @@
 } // namespace
 
 worker::worker(boost::asio::io_context& io, worker_behaviour behaviour)
-    : io_(io), acceptor_(io, {boost::asio::ip::make_address("127.0.0.1"), 0}), behaviour_(std::move(behaviour)) {
+    : io_(io), acceptor_(io, {boost::asio::ip::make_address("127.0.0.1"), 0}),
+      behaviour_(std::move(behaviour)) {
     accept_next();
 }
 
@@ -74,7 +75,8 @@
 std::string worker::response(const request_head& head, int status, const std::string& more,
                              const std::string& body) const {
     return absl::StrCat("HTTP/1.1 ", status, " Status\r\nRequest-Id: ", header(head, "Request-Id"),
-                        "\r\nServer-Load: ", load(), "\r\n", more, "Content-Length: ", body.size(), "\r\n\r\n", body);
+                        "\r\nServer-Load: ", load(), "\r\n", more, "Content-Length: ", body.size(),
+                        "\r\n\r\n", body);
 }
 
 void worker::take(const connection_ptr& it, request_head head) {
@@ -93,12 +95,14 @@
     }
     const auto target = header(head, "Target-Instance");
     if (!target.empty() && target != behaviour_.id) {
-        send(it, response(head, 421, absl::StrCat("Not-Executed: 1\r\nInstance-Id: ", behaviour_.id, "\r\n"), ""));
+        send(it, response(head, 421, absl::StrCat("Not-Executed: 1\r\nInstance-Id: ", behaviour_.id, "\r\n"),
+                          ""));
         return;
     }
     if (head.target == "/healthz") {
-        const auto cold =
-            behaviour_.warm_up_ms > 0 ? absl::StrCat("Warmup-Ms: ", behaviour_.warm_up_ms, "\r\n") : std::string();
+        const auto cold = behaviour_.warm_up_ms > 0
+                              ? absl::StrCat("Warmup-Ms: ", behaviour_.warm_up_ms, "\r\n")
+                              : std::string();
         send(it, response(head, 200, absl::StrCat("Instance-Id: ", behaviour_.id, "\r\n", cold), ""));
         return;
     }
@@ -152,8 +156,8 @@
     if (mode == "truncate") {
         send(it.from, good.substr(0, good.size() - 10), true);
     } else if (mode == "unframed" || mode == "unframed-reset") {
-        const auto unframed = absl::StrCat("HTTP/1.1 200 OK\r\nRequest-Id: ", header(it.head, "Request-Id"), "\r\n",
-                                           signature, "\r\n", body);
+        const auto unframed = absl::StrCat("HTTP/1.1 200 OK\r\nRequest-Id: ", header(it.head, "Request-Id"),
+                                           "\r\n", signature, "\r\n", body);
         if (mode == "unframed-reset") {
             it.from->socket.set_option(boost::asio::socket_base::linger(true, 0));
         }
@@ -161,7 +165,8 @@
     } else if (mode == "extra") {
         send(it.from, good + good);
     } else if (mode == "late") {
-        const auto stale = "HTTP/1.1 200 OK\r\nRequest-Id: stale\r\nServer-Signature: stale\r\nContent-Length: 5\r\n\r\nstale";
+        const auto stale = "HTTP/1.1 200 OK\r\nRequest-Id: stale\r\nServer-Signature: "
+                           "stale\r\nContent-Length: 5\r\n\r\nstale";
         send(it.from, stale + good);
     } else {
         send(it.from, good);
--- a/standins/platform_worker/worker.h
+++ b/standins/platform_worker/worker.h
@@ -21,15 +21,16 @@
     int queue{8};
     int work_ms{10};
     std::size_t body_bytes{100};
-    int slowness{100};    ///< The fourth figure of its load; work takes so much longer.
-    int warm_up_ms{0};    ///< What its health answers say.
-    std::string mode{"good"}; ///< good, shed, error, reset, truncate, unframed, unframed-reset, extra, late, mute
+    int slowness{100}; ///< The fourth figure of its load; work takes so much longer.
+    int warm_up_ms{0}; ///< What its health answers say.
+    std::string mode{
+        "good"}; ///< good, shed, error, reset, truncate, unframed, unframed-reset, extra, late, mute
 };
 
 /** A worker of the platform: runs requests in slots, sheds when its queue is full, and misbehaves as told.
 
-    `POST /control?mode=M&work=MS&slowness=N&warm-up=MS` changes its behaviour, `GET /runs` lists `id count` of the
-    requests that it began.
+    `POST /control?mode=M&work=MS&slowness=N&warm-up=MS` changes its behaviour, `GET /runs` lists `id count`
+   of the requests that it began.
 */
 class worker {
 public:
--- a/tests/adapter/platform_test.cpp
+++ b/tests/adapter/platform_test.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-
 struct json_wire_fixture {
     json_wire subject;
 
@@ -31,8 +30,9 @@
     }
 };
 
-const std::string good_entry = R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":6,)"
-                               R"("state":"ready","warmup-left-s":1.5,"sequence":4,"born":1700000000123})";
+const std::string good_entry =
+    R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":6,)"
+    R"("state":"ready","warmup-left-s":1.5,"sequence":4,"born":1700000000123})";
 
 std::string changed(std::string text, const std::string& from, const std::string& to) {
     text.replace(text.find(from), from.size(), to);
@@ -89,8 +89,9 @@
 TEST_CASE_FIXTURE(json_wire_fixture, "json_wire, configuration with a fault, is refused whole") {
     CHECK_FALSE(config(R"({"version":"xyz","services":[],"virtual-hosts":[]})"));
     CHECK_FALSE(config(R"({"version":"00000001","services":[]})"));
-    CHECK_FALSE(config(R"({"version":"00000001","services":[],"virtual-hosts":[{"host":"a","paths":[{"name":"r",)"
-                       R"("path-prefix":"/","kind":"maybe","service":"s"}]}]})"));
+    CHECK_FALSE(
+        config(R"({"version":"00000001","services":[],"virtual-hosts":[{"host":"a","paths":[{"name":"r",)"
+               R"("path-prefix":"/","kind":"maybe","service":"s"}]}]})"));
 }
 
 // Guards against a load header of another shape being taken for an idle upstream.
@@ -113,10 +114,11 @@
             },
             [] { return std::optional<platform_settings>(); });
     };
-    const std::string text = "node-name=n1\nip=10.0.0.1\nzone=north\ninternal-ports=7540,7555\nlisten.front=10.0.0.1:80\n"
-                             "seeds=10.0.0.2:81,10.0.0.3:81\nlimits.cpu-share=0.2\nlimits.cpu-cores=1\nunknown=1\n"
-                             "bounds=grace-s=5,budget-window-s=8,retry-budget-burst=62,ttl_max_s=1\n"
-                             "platform.address=10.9.0.1:80\n";
+    const std::string text =
+        "node-name=n1\nip=10.0.0.1\nzone=north\ninternal-ports=7540,7555\nlisten.front=10.0.0.1:80\n"
+        "seeds=10.0.0.2:81,10.0.0.3:81\nlimits.cpu-share=0.2\nlimits.cpu-cores=1\nunknown=1\n"
+        "bounds=grace-s=5,budget-window-s=8,retry-budget-burst=62,ttl_max_s=1\n"
+        "platform.address=10.9.0.1:80\n";
     const auto it = read(text);
     REQUIRE(it);
     CHECK(it->gateway.self.gossip_port == 7540);
--- a/tests/balance/catalog_test.cpp
+++ b/tests/balance/catalog_test.cpp
@@ -39,7 +39,8 @@
 
 // Guards against records that take effect twice or in the wrong order when two nodes pass them on.
 TEST_CASE_FIXTURE(record_book_fixture, "record_book, same records from two sides, applies each once") {
-    const std::vector<state_record> run{{.key = "a", .offset = 0, .value = "1"}, {.key = "a", .offset = 1, .value = "2"}};
+    const std::vector<state_record> run{{.key = "a", .offset = 0, .value = "1"},
+                                        {.key = "a", .offset = 1, .value = "2"}};
     subject.merge(run, 2, at(10));
     subject.merge(std::span(run).first(1), 1, at(20));
     CHECK(seen.size() == 2);
@@ -49,8 +50,9 @@
 
 // Guards against an upstream that stays known because its removal lies in records that the store dropped.
 TEST_CASE_FIXTURE(record_book_fixture, "record_book, key missing in a snapshot, counts as removed") {
-    subject.merge(std::vector<state_record>{{.key = "a", .offset = 0, .value = "1"}, {.key = "b", .offset = 1, .value = "1"}}, 2,
-                  at(10));
+    subject.merge(std::vector<state_record>{{.key = "a", .offset = 0, .value = "1"},
+                                            {.key = "b", .offset = 1, .value = "1"}},
+                  2, at(10));
     subject.merge_snapshot(std::vector<state_record>{{.key = "b", .offset = 1, .value = "1"}}, 9, at(20));
     CHECK(seen.size() == 3);
     CHECK(seen.back().key == "a");
@@ -116,8 +118,10 @@
     CHECK_FALSE(subject.usable(*removed));
 }
 
-// Guards against losing all upstreams when their registrations lapse with the store, and against keeping the dead.
-TEST_CASE_FIXTURE(directory_fixture, "upstream_directory, lapsed with the store, is kept for the grace only") {
+// Guards against losing all upstreams when their registrations lapse with the store, and against keeping the
+// dead.
+TEST_CASE_FIXTURE(directory_fixture,
+                  "upstream_directory, lapsed with the store, is kept for the grace only") {
     subject.apply(entry("u", 1000, 1), warm_up, at(0));
     subject.apply(entry("v", 1000, 1), warm_up, at(0));
     subject.remove("u", true, at(100));
@@ -138,7 +142,8 @@
     CHECK(subject.find("u") == nullptr);
 }
 
-// Guards against requests to an evacuated failure domain, and a full load on its cold upstreams when it is back.
+// Guards against requests to an evacuated failure domain, and a full load on its cold upstreams when it is
+// back.
 TEST_CASE_FIXTURE(directory_fixture, "upstream_directory, failure domain evacuated and taken back, is cold") {
     subject.apply(entry("u", 1000, 1), warm_up, at(0));
     const auto held = subject.find("u");
--- a/tests/balance/choice_test.cpp
+++ b/tests/balance/choice_test.cpp
@@ -24,8 +24,9 @@
     seeded_random random{5};
 
     void add(const std::string& id, const std::string& domain = "north", int slots = 4) {
-        directory.apply({.id = id, .service = "s", .address = "10.0.0.1:80", .failure_domain = domain, .slots = slots},
-                        millis{}, at(0));
+        directory.apply(
+            {.id = id, .service = "s", .address = "10.0.0.1:80", .failure_domain = domain, .slots = slots},
+            millis{}, at(0));
         // used before, so that it does not count as untried
         loads.outcome(number(id), {.good = 1}, at(1), false);
     }
@@ -33,7 +34,8 @@
     [[nodiscard]] std::uint32_t number(const std::string& id) const { return directory.find(id)->number; }
 
     upstream_pick pick(instant now, std::vector<std::uint32_t> tried = {}) {
-        return choose_upstream(directory, loads, directory.of_service("s"), tried, always, options, random, now);
+        return choose_upstream(directory, loads, directory.of_service("s"), tried, always, options, random,
+                               now);
     }
 
     void report(const std::string& id, double slowness, instant when, int running = 0) {
@@ -44,7 +46,8 @@
 } // namespace
 
 // Guards against requests to an upstream whose neighbours slow it down right now.
-TEST_CASE_FIXTURE(choice_fixture, "choose_upstream, one reports to be slow, avoids it while the report is fresh") {
+TEST_CASE_FIXTURE(choice_fixture,
+                  "choose_upstream, one reports to be slow, avoids it while the report is fresh") {
     add("a");
     add("b");
     report("a", 4, at(1000));
@@ -122,13 +125,15 @@
 TEST_CASE_FIXTURE(choice_fixture, "choose_upstream, one joined and was never used, tries it") {
     add("a");
     add("b");
-    directory.apply({.id = "new", .service = "s", .address = "10.0.0.9:80", .failure_domain = "south", .slots = 4},
-                    millis{}, at(500));
+    directory.apply(
+        {.id = "new", .service = "s", .address = "10.0.0.9:80", .failure_domain = "south", .slots = 4},
+        millis{}, at(500));
     CHECK(pick(at(1000)).it->entry.id == "new");
 }
 
-// Guards against a choice that is worse under a changing load than what it replaced: least own in-flight requests and
-// random. Plays 12 upstreams of which a third runs four times slower for 300 ms at a time, reported each 60 ms.
+// Guards against a choice that is worse under a changing load than what it replaced: least own in-flight
+// requests and random. Plays 12 upstreams of which a third runs four times slower for 300 ms at a time,
+// reported each 60 ms.
 TEST_CASE("choose_upstream, slowness changes each 300 ms, ends more requests in time than simpler choices") {
     constexpr int upstreams = 12;
     constexpr double work_ms = 66;
--- a/tests/balance/limits_test.cpp
+++ b/tests/balance/limits_test.cpp
@@ -66,7 +66,8 @@
 // Guards against requests that are held although they cannot be served in time.
 TEST_CASE("decide_admission, more ahead than drains in time, refuses at once") {
     const admission_options options;
-    admission_inputs in{.latency_target = millis{200}, .left = millis{1200}, .ahead = 0, .drained_per_second = 20};
+    admission_inputs in{
+        .latency_target = millis{200}, .left = millis{1200}, .ahead = 0, .drained_per_second = 20};
     CHECK(decide_admission(in, options).waits);
     CHECK(decide_admission(in, options).give_up_after == millis{60});
     in.ahead = 10; // half a second of work
@@ -83,8 +84,8 @@
     }
 }
 
-// Guards against a service that gets more resends than its budget from all nodes together, however the requests are
-// spread over the nodes and whenever the failures come.
+// Guards against a service that gets more resends than its budget from all nodes together, however the
+// requests are spread over the nodes and whenever the failures come.
 TEST_CASE("resend_budget, 13 nodes resend all they may, stay within the limits in every window") {
     constexpr std::size_t nodes = 13;
     const resend_limits limits{.window = millis{10000}, .ratio = 0.2, .burst = 56};
--- a/tests/balance/peers_test.cpp
+++ b/tests/balance/peers_test.cpp
@@ -1,6 +1,7 @@
 #include "modules/berylcrank_balance/choice/upstream_subset.h"
 #include "modules/berylcrank_balance/peers/peer_table.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 #include <map>
 #include <memory>
@@ -65,14 +66,16 @@
 }
 
 // Guards against records that are read late because the first nodes in order cannot reach the store.
-TEST_CASE_FIXTURE(deployment_fixture, "peer_table, some nodes cannot read the store, the first that can has rank 0") {
+TEST_CASE_FIXTURE(deployment_fixture,
+                  "peer_table, some nodes cannot read the store, the first that can has rank 0") {
     start(5, {"a"});
     std::size_t first = 0;
     while (tables[first]->reader_rank(false, at(1100)) != 0) {
         ++first;
     }
     for (auto& table : tables) {
-        table->alive({.number = node_number(nodes[first]), .incarnation = 1000, .beat = 2, .blind = true}, at(1100));
+        table->alive({.number = node_number(nodes[first]), .incarnation = 1000, .beat = 2, .blind = true},
+                     at(1100));
     }
     std::size_t readers = 0;
     for (std::size_t i = 0; i < tables.size(); ++i) {
@@ -83,7 +86,8 @@
 }
 
 // Guards against callers that are sent to a node which is silent.
-TEST_CASE_FIXTURE(deployment_fixture, "peer_table, node turns silent, is no longer live and is reported once") {
+TEST_CASE_FIXTURE(deployment_fixture,
+                  "peer_table, node turns silent, is no longer live and is reported once") {
     start(3, {"a"});
     auto& subject = *tables[0];
     const auto later = at(1000) + peer_table::silence_in_cell;
@@ -114,7 +118,8 @@
 }
 
 // Guards against messages per node that grow with the deployment.
-TEST_CASE_FIXTURE(deployment_fixture, "peer_table, 150 nodes, cells stay small and lie in one failure domain") {
+TEST_CASE_FIXTURE(deployment_fixture,
+                  "peer_table, 150 nodes, cells stay small and lie in one failure domain") {
     start(150, {"a", "b", "c", "d", "e"});
     std::map<std::pair<std::string, std::uint32_t>, int> sizes;
     for (const auto& table : tables) {
@@ -128,8 +133,10 @@
     CHECK(sizes.size() == tables[0]->cell_count());
 }
 
-// Guards against upstreams that no node uses, and against nodes without upstreams when a failure domain is out.
-TEST_CASE_FIXTURE(deployment_fixture, "upstream_subset, failure domain evacuated, all upstreams and nodes are served") {
+// Guards against upstreams that no node uses, and against nodes without upstreams when a failure domain is
+// out.
+TEST_CASE_FIXTURE(deployment_fixture,
+                  "upstream_subset, failure domain evacuated, all upstreams and nodes are served") {
     start(60, {"a", "b", "c"});
     upstream_directory directory;
     for (int i = 0; i < 90; ++i) {
@@ -148,6 +155,11 @@
             const auto& members = subject.of_service("s", at(1000));
             CHECK(members.size() >= upstream_subset::fewest);
             CHECK(members.size() <= 40);
+            const auto& spill = subject.spill_of_service("s", at(1000));
+            CHECK(spill.size() == upstream_subset::spill_size);
+            for (const auto& it : spill) {
+                CHECK(std::find(members.begin(), members.end(), it) == members.end());
+            }
             for (const auto& it : members) {
                 CHECK(directory.usable(*it));
                 used.insert(it->entry.id);
--- a/tests/gateway/message_test.cpp
+++ b/tests/gateway/message_test.cpp
@@ -64,7 +64,8 @@
 TEST_CASE("message_parser, both lengths given, is no proper message") {
     request_parser subject;
     boost::beast::error_code ec;
-    subject.feed("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", ec);
+    subject.feed(
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", ec);
     CHECK(ec);
 }
 
@@ -94,12 +95,14 @@
     CHECK(read->roster.at(0).beat == 5);
 }
 
-// Guards against records that change on their way between nodes, and against answers that are too large for small links.
+// Guards against records that change on their way between nodes, and against answers that are too large for
+// small links.
 TEST_CASE("state_answer, a thousand routes, survives encoding and is small") {
     state_answer it;
     std::string routes;
     for (int n = 0; n < 1000; ++n) {
-        routes += "{\"name\":\"r-" + std::to_string(n * 7919) + "\",\"kind\":\"safe\",\"timeout-s\":1.2,\"max-attempts\":2},";
+        routes += "{\"name\":\"r-" + std::to_string(n * 7919) +
+                  "\",\"kind\":\"safe\",\"timeout-s\":1.2,\"max-attempts\":2},";
     }
     it[0].mark = {.complete = true, .end = 12, .changed = 12};
     it[0].records.push_back({.key = "config", .offset = 11, .value = routes});
@@ -128,7 +131,8 @@
 }
 
 // Guards against log lines that tools cannot read, whatever callers send.
-TEST_CASE_FIXTURE(pipe_log_fixture, "event_log, value with quotes and control characters, is one line of JSON") {
+TEST_CASE_FIXTURE(pipe_log_fixture,
+                  "event_log, value with quotes and control characters, is one line of JSON") {
     subject->line("sent").field("request", "a\"b\\c\n\x01\xff").field("cost", 1.5).field("ok", true).send();
     subject->flush();
     const auto text = written();
@@ -140,7 +144,8 @@
 }
 
 // Guards against logs that take the processor under load, and against lines left out without a word.
-TEST_CASE_FIXTURE(pipe_log_fixture, "event_log, thousand lines of a kind at once, writes its rate and says what it left out") {
+TEST_CASE_FIXTURE(pipe_log_fixture,
+                  "event_log, thousand lines of a kind at once, writes its rate and says what it left out") {
     for (int n = 0; n < 1000; ++n) {
         subject->line("sent").send();
     }
--- a/tests/gateway/state_follower_test.cpp
+++ b/tests/gateway/state_follower_test.cpp
@@ -64,7 +64,9 @@
     }
 
 private:
-    void later(millis delay, std::function<void()> event) { events_.emplace(time_.now() + delay, std::move(event)); }
+    void later(millis delay, std::function<void()> event) {
+        events_.emplace(time_.now() + delay, std::move(event));
+    }
 
     manual_clock& time_;
     std::multimap<instant, std::function<void()>> events_;
@@ -131,7 +133,8 @@
                 continue;
             }
             followers[i]->tick(rank++, time.now());
-            for (std::size_t k = 0; k < followers.size() && (ms / 10 + static_cast<std::int64_t>(i)) % 5 == 0; ++k) {
+            for (std::size_t k = 0; k < followers.size() && (ms / 10 + static_cast<std::int64_t>(i)) % 5 == 0;
+                 ++k) {
                 if (k != i && alive[k]) {
                     send(i, k);
                 }
@@ -159,7 +162,8 @@
 } // namespace
 
 // Guards against nodes that renew each other's word on the age of their copies until none reads the store.
-TEST_CASE_FIXTURE(followers_fixture, "state_follower, messages are on the way for long, the store is read as often") {
+TEST_CASE_FIXTURE(followers_fixture,
+                  "state_follower, messages are on the way for long, the store is read as often") {
     for (const auto ms : {12, 60, 200, 300}) {
         delay = millis{ms};
         run(2000);
@@ -173,11 +177,13 @@
 }
 
 // Guards against calls to the store that every node makes.
-TEST_CASE_FIXTURE(followers_fixture, "state_follower, calm for 20 s, the nodes make about as many calls as one") {
+TEST_CASE_FIXTURE(followers_fixture,
+                  "state_follower, calm for 20 s, the nodes make about as many calls as one") {
     run(1000);
     const auto before = store.made;
     run(20000);
-    CHECK(store.made - before <= 20 * 4); // 2.2 reads of the upstreams and 1.1 of the operators a second, and some
+    CHECK(store.made - before <=
+          20 * 4); // 2.2 reads of the upstreams and 1.1 of the operators a second, and some
     CHECK(store.made - before >= 20 * 2);
 }
 
@@ -191,8 +197,10 @@
     CHECK(all_saw("b"));
 }
 
-// Guards against registrations that lapsed with the store being taken for planned removals, and the other way round.
-TEST_CASE_FIXTURE(followers_fixture, "state_follower, removal read after an outage, is marked so on every node") {
+// Guards against registrations that lapsed with the store being taken for planned removals, and the other way
+// round.
+TEST_CASE_FIXTURE(followers_fixture,
+                  "state_follower, removal read after an outage, is marked so on every node") {
     write("a", "x");
     write("b", "x");
     run(1500);
--- a/tests/process/gateway_path_test.cpp
+++ b/tests/process/gateway_path_test.cpp
@@ -21,7 +21,8 @@
 } // namespace
 
 // Guards against a path that fails anywhere between caller and upstream, for each kind of request.
-TEST_CASE_FIXTURE(gateway_path_fixture, "gateway, requests of each kind, returns the upstream's response whole") {
+TEST_CASE_FIXTURE(gateway_path_fixture,
+                  "gateway, requests of each kind, returns the upstream's response whole") {
     const auto& node = subject.nodes().front();
     const auto lookup = subject.request(node, "GET", "/l/a?q=1", "id-1");
     CHECK(lookup.status == 200);
@@ -40,7 +41,8 @@
 // Guards against callers that are told no address, or that of a node that cannot serve.
 TEST_CASE_FIXTURE(gateway_path_fixture, "directory, two nodes ready and one stops, names the ready ones") {
     const auto addresses = [&](const platform_node& node) {
-        return send({.address = node.directory, .path = "/api/resolve?name=shop.example&region=r&zone=north"}).body;
+        return send({.address = node.directory, .path = "/api/resolve?name=shop.example&region=r&zone=north"})
+            .body;
     };
     const auto first = subject.nodes()[0].front;
     const auto second = subject.nodes()[1].front;
@@ -55,8 +57,10 @@
     CHECK(subject.nodes()[1].process->wait_exit() == 0);
 }
 
-// Guards against pipelined responses in the order in which upstreams end, and against running them one by one.
-TEST_CASE_FIXTURE(gateway_path_fixture, "gateway, pipelined lookups, answers in order and runs them side by side") {
+// Guards against pipelined responses in the order in which upstreams end, and against running them one by
+// one.
+TEST_CASE_FIXTURE(gateway_path_fixture,
+                  "gateway, pipelined lookups, answers in order and runs them side by side") {
     for (const auto* it : subject.workers_of("lookups")) {
         subject.behave(*it, "work=150");
     }
@@ -67,7 +71,8 @@
     CHECK(header_in(connection.read_message(), "Request-Id") == "p-1");
     CHECK(connection.read_message().starts_with("HTTP/1.1 404"));
     CHECK(header_in(connection.read_message(), "Request-Id") == "p-3");
-    CHECK(std::chrono::steady_clock::now() - start < std::chrono::milliseconds(290)); // twice 150 ms if one by one
+    CHECK(std::chrono::steady_clock::now() - start <
+          std::chrono::milliseconds(290)); // twice 150 ms if one by one
 }
 
 // Guards against heads and bodies that arrive in pieces being lost or misread.
@@ -83,7 +88,8 @@
 }
 
 // Guards against requests that a planned stop cuts off, and against a node that never ends.
-TEST_CASE_FIXTURE(gateway_path_fixture, "gateway, stopped while a request runs, answers it and ends within the grace") {
+TEST_CASE_FIXTURE(gateway_path_fixture,
+                  "gateway, stopped while a request runs, answers it and ends within the grace") {
     for (const auto* it : subject.workers_of("orders")) {
         subject.behave(*it, "work=900");
     }
@@ -101,8 +107,10 @@
     CHECK(subject.runs("s-1") == 1);
 }
 
-// Guards against a request that is passed on although its connection was already shut down for a planned stop.
-TEST_CASE_FIXTURE(gateway_path_fixture, "gateway, request crosses the close of an idle connection, is not passed on") {
+// Guards against a request that is passed on although its connection was already shut down for a planned
+// stop.
+TEST_CASE_FIXTURE(gateway_path_fixture,
+                  "gateway, request crosses the close of an idle connection, is not passed on") {
     const auto& node = subject.nodes().front();
     auto connection = raw_connection::to(node.front);
     REQUIRE(connection.send(pipelined("/l/a", "c-1")));
@@ -115,7 +123,8 @@
 }
 
 // Guards against an upstream that works on for a caller who has left.
-TEST_CASE_FIXTURE(gateway_path_fixture, "gateway, caller of a lookup leaves, closes the connection to the upstream") {
+TEST_CASE_FIXTURE(gateway_path_fixture,
+                  "gateway, caller of a lookup leaves, closes the connection to the upstream") {
     for (const auto* it : subject.workers_of("lookups")) {
         subject.behave(*it, "work=400");
     }
--- a/tests/process/gateway_store_test.cpp
+++ b/tests/process/gateway_store_test.cpp
@@ -19,7 +19,10 @@
     void wait_everywhere(const std::string& path, int expected) {
         wait_until(
             "all nodes answer " + path,
-            [&] { return status(0, path) == expected && status(1, path) == expected && status(2, path) == expected; },
+            [&] {
+                return status(0, path) == expected && status(1, path) == expected &&
+                       status(2, path) == expected;
+            },
             2000);
     }
 
@@ -35,12 +38,14 @@
     int ids{0};
 };
 
-const std::string new_route = R"({"name":"new","path-prefix":"/new/","kind":"safe","service":"lookups","max-attempts":1},)";
+const std::string new_route =
+    R"({"name":"new","path-prefix":"/new/","kind":"safe","service":"lookups","max-attempts":1},)";
 
 } // namespace
 
 // Guards against a configuration that is late on some node, and against one that goes back.
-TEST_CASE_FIXTURE(gateway_store_fixture, "gateway, new configuration, is in force on all nodes within 2 s and stays") {
+TEST_CASE_FIXTURE(gateway_store_fixture,
+                  "gateway, new configuration, is in force on all nodes within 2 s and stays") {
     CHECK(status(0, "/new/a") == 404);
     subject.put_operator("config", platform_deployment::config(5, new_route));
     wait_everywhere("/new/a", 200);
@@ -53,7 +58,8 @@
 }
 
 // Guards against requests to an upstream that drains or whose registration is gone.
-TEST_CASE_FIXTURE(gateway_store_fixture, "gateway, upstream drains or is removed, all nodes leave it within 2 s") {
+TEST_CASE_FIXTURE(gateway_store_fixture,
+                  "gateway, upstream drains or is removed, all nodes leave it within 2 s") {
     const auto workers = subject.workers_of("lookups");
     subject.put_worker(*workers[0], "draining", 2);
     wait_until(
@@ -61,7 +67,8 @@
         [&] {
             for (std::size_t n = 0; n < 3; ++n) {
                 for (int k = 0; k < 3; ++k) {
-                    const auto it = subject.request(subject.nodes()[n], "GET", "/l/a", "d-" + std::to_string(++ids));
+                    const auto it =
+                        subject.request(subject.nodes()[n], "GET", "/l/a", "d-" + std::to_string(++ids));
                     if (it.header("Server-Signature") == workers[0]->id) {
                         return false;
                     }
@@ -75,7 +82,8 @@
 }
 
 // Guards against nodes that stop serving, or serve a cleared service, because the store is away.
-TEST_CASE_FIXTURE(gateway_store_fixture, "gateway, store refuses, is silent and returns, serves all the while") {
+TEST_CASE_FIXTURE(gateway_store_fixture,
+                  "gateway, store refuses, is silent and returns, serves all the while") {
     for (const auto* outage : {"refuse", "silent"}) {
         subject.store_fault(outage);
         wait_until("the loss is noticed", [&] { return any_node_says("/status", "\"store_lost\":true"); });
@@ -85,7 +93,8 @@
         subject.store_fault("none");
     }
     subject.put_operator("config", platform_deployment::config(7, new_route));
-    wait_until("the new configuration is in force", [&] { return status(0, "/new/a") == 200; }, 4000);
+    wait_until(
+        "the new configuration is in force", [&] { return status(0, "/new/a") == 200; }, 4000);
 }
 
 // Guards against a node that stays on old records because the store dropped those in between.
@@ -95,13 +104,17 @@
     subject.forget_history("keyed.op");
     subject.forget_history("keyed.servers");
     subject.store_fault("none");
-    wait_until("the new configuration is in force",
-               [&] { return status(0, "/new/a") == 200 && status(1, "/new/a") == 200 && status(2, "/new/a") == 200; },
-               5000);
+    wait_until(
+        "the new configuration is in force",
+        [&] {
+            return status(0, "/new/a") == 200 && status(1, "/new/a") == 200 && status(2, "/new/a") == 200;
+        },
+        5000);
 }
 
 // Guards against a node that starts while the store is away and tells callers that their routes do not exist.
-TEST_CASE_FIXTURE(gateway_store_fixture, "gateway, starts while the store is away, says 503 or learns from its peers") {
+TEST_CASE_FIXTURE(gateway_store_fixture,
+                  "gateway, starts while the store is away, says 503 or learns from its peers") {
     subject.store_fault("silent");
     const auto& late = subject.start_node();
     late.process->wait_line("\"started\"");
@@ -113,7 +126,8 @@
 }
 
 // Guards against a deployment that stays down when all its processes are killed at once.
-TEST_CASE_FIXTURE(gateway_store_fixture, "gateway, all nodes are killed, serves again with the last configuration") {
+TEST_CASE_FIXTURE(gateway_store_fixture,
+                  "gateway, all nodes are killed, serves again with the last configuration") {
     subject.put_operator("config", platform_deployment::config(9, new_route));
     for (const auto& it : subject.nodes()) {
         it.process->send(SIGKILL);
@@ -130,19 +144,20 @@
 }
 
 // Guards against calls to the store that grow with the number of nodes.
-TEST_CASE_FIXTURE(gateway_store_fixture, "gateway, calm, all nodes together read the store a few times a second") {
+TEST_CASE_FIXTURE(gateway_store_fixture,
+                  "gateway, calm, all nodes together read the store a few times a second") {
     const auto before = subject.store_calls();
     const auto start = std::chrono::steady_clock::now();
-    wait_until("three seconds have passed", [&] {
-        return std::chrono::steady_clock::now() - start > std::chrono::seconds(3);
-    });
+    wait_until("three seconds have passed",
+               [&] { return std::chrono::steady_clock::now() - start > std::chrono::seconds(3); });
     const auto calls = subject.store_calls() - before;
     CHECK(calls >= 3);
     CHECK(calls <= 30); // 400 on a day of 40 s
 }
 
 // Guards against records of other writers that take an upstream away or name one that cannot be used.
-TEST_CASE_FIXTURE(gateway_store_fixture, "gateway, unreadable registrations, ignores them and keeps the others") {
+TEST_CASE_FIXTURE(gateway_store_fixture,
+                  "gateway, unreadable registrations, ignores them and keeps the others") {
     auto forged = platform_worker{.id = "i-forged", .service = "nosuch", .address = "127.0.0.1:1"};
     subject.put_worker(forged, "ready", 1);
     forged.service = "lookups";
--- a/tests/process/gateway_upstream_test.cpp
+++ b/tests/process/gateway_upstream_test.cpp
@@ -24,7 +24,8 @@
 } // namespace
 
 // Guards against an order that runs twice, and against the promise "not run" for one that may have run.
-TEST_CASE_FIXTURE(gateway_upstream_fixture, "gateway, order's upstream breaks off, says 502 and never sends it again") {
+TEST_CASE_FIXTURE(gateway_upstream_fixture,
+                  "gateway, order's upstream breaks off, says 502 and never sends it again") {
     for (const auto* mode : {"reset", "truncate", "unframed-reset"}) {
         all_behave("orders", std::string("mode=") + mode);
         const auto id = std::string("o-") + mode;
@@ -36,7 +37,8 @@
 }
 
 // Guards against a refusal without a time to come back, or of an order that ran.
-TEST_CASE_FIXTURE(gateway_upstream_fixture, "gateway, all upstreams shed an order, says 503 and it did not run") {
+TEST_CASE_FIXTURE(gateway_upstream_fixture,
+                  "gateway, all upstreams shed an order, says 503 and it did not run") {
     all_behave("orders", "mode=shed");
     const auto answer = subject.request(node(), "POST", "/o/a", "o-shed", "x");
     CHECK(answer.status == 503);
@@ -55,7 +57,8 @@
 }
 
 // Guards against lookups that fail although another upstream works.
-TEST_CASE_FIXTURE(gateway_upstream_fixture, "gateway, one upstream spoils lookups, serves them from the other") {
+TEST_CASE_FIXTURE(gateway_upstream_fixture,
+                  "gateway, one upstream spoils lookups, serves them from the other") {
     for (const auto* mode : {"reset", "truncate", "error", "unframed-reset"}) {
         subject.behave(*subject.workers_of("lookups")[0], std::string("mode=") + mode);
         for (int n = 0; n < 4; ++n) {
@@ -67,7 +70,8 @@
 }
 
 // Guards against a caller that gets another's response, or bytes that belong to none.
-TEST_CASE_FIXTURE(gateway_upstream_fixture, "gateway, upstream sends extra or late responses, each caller gets its own") {
+TEST_CASE_FIXTURE(gateway_upstream_fixture,
+                  "gateway, upstream sends extra or late responses, each caller gets its own") {
     for (const auto* mode : {"extra", "late"}) {
         all_behave("lookups", std::string("mode=") + mode);
         for (int n = 0; n < 8; ++n) {
@@ -81,7 +85,8 @@
 }
 
 // Guards against a truncated response that looks complete, and against whole ones without length being lost.
-TEST_CASE_FIXTURE(gateway_upstream_fixture, "gateway, download without length, is whole only if its end was orderly") {
+TEST_CASE_FIXTURE(gateway_upstream_fixture,
+                  "gateway, download without length, is whole only if its end was orderly") {
     all_behave("files", "mode=unframed");
     const auto whole = subject.request(node(), "GET", "/f/a", "u-1");
     CHECK(whole.is_whole);
@@ -103,7 +108,8 @@
 }
 
 // Guards against requests to another upstream that was given the address of one that ended.
-TEST_CASE_FIXTURE(gateway_upstream_fixture, "gateway, address belongs to another upstream, uses the right one") {
+TEST_CASE_FIXTURE(gateway_upstream_fixture,
+                  "gateway, address belongs to another upstream, uses the right one") {
     auto& moved = *subject.workers_of("lookups")[0];
     const auto address = moved.address;
     moved.address = subject.workers_of("orders")[0]->address; // answers 421 under this id
@@ -119,12 +125,14 @@
 }
 
 // Guards against an upstream that is killed taking the requests after it along.
-TEST_CASE_FIXTURE(gateway_upstream_fixture, "gateway, one upstream is killed, serves the next requests elsewhere") {
+TEST_CASE_FIXTURE(gateway_upstream_fixture,
+                  "gateway, one upstream is killed, serves the next requests elsewhere") {
     subject.workers_of("orders")[0]->process->send(SIGKILL);
     subject.workers_of("orders")[0]->process->wait_exit();
     int served = 0;
     for (int n = 0; n < 10; ++n) {
-        served += subject.request(node(), "POST", "/o/a", "k-" + std::to_string(n), "x").status == 200 ? 1 : 0;
+        served +=
+            subject.request(node(), "POST", "/o/a", "k-" + std::to_string(n), "x").status == 200 ? 1 : 0;
     }
     CHECK(served == 10); // nothing left this node for an upstream that cannot be reached
 }
--- a/tests/support/platform_deployment.cpp
+++ b/tests/support/platform_deployment.cpp
@@ -63,10 +63,11 @@
     auto routes = absl::StrCat(extra, route("lookups", "/l/", "safe", 2), route("orders", "/o/", "unsafe", 1),
                                route("files", "/f/", "download", 2));
     routes.pop_back(); // the last comma
-    return absl::StrCat(R"({"version":")", absl::Hex(version, absl::kZeroPad8), R"(","services":[)",
-                        service("lookups"), ",", service("orders"), ",", service("files"),
-                        R"(],"limits":{"max-header-bytes":16384,"max-body-bytes":1048576,"header-timeout-s":3,)",
-                        R"("idle-timeout-s":15},"virtual-hosts":[{"host":"shop.example","paths":[)", routes, "]}]}");
+    return absl::StrCat(
+        R"({"version":")", absl::Hex(version, absl::kZeroPad8), R"(","services":[)", service("lookups"), ",",
+        service("orders"), ",", service("files"),
+        R"(],"limits":{"max-header-bytes":16384,"max-body-bytes":1048576,"header-timeout-s":3,)",
+        R"("idle-timeout-s":15},"virtual-hosts":[{"host":"shop.example","paths":[)", routes, "]}]}");
 }
 
 void platform_deployment::put_operator(const std::string& key, const std::string& value) {
@@ -74,9 +75,10 @@
 }
 
 void platform_deployment::put_worker(const platform_worker& it, const std::string& state, int sequence) {
-    const auto value = absl::StrCat(R"({"service":")", it.service, R"(","address":")", it.address,
-                                    R"(","zone":"north","version":"v1","slots":4,"state":")", state,
-                                    R"(","warmup-left-s":0,"sequence":)", sequence, R"(,"born":1700000000000})");
+    const auto value =
+        absl::StrCat(R"({"service":")", it.service, R"(","address":")", it.address,
+                     R"(","zone":"north","version":"v1","slots":4,"state":")", state,
+                     R"(","warmup-left-s":0,"sequence":)", sequence, R"(,"born":1700000000000})");
     REQUIRE(post(store_address_, "/put?topic=keyed.servers&key=" + it.id, value).status == 200);
 }
 
@@ -114,8 +116,9 @@
 
 void platform_deployment::start_worker(const std::string& service, int n) {
     platform_worker it{.id = absl::StrCat("i-", service, n), .service = service};
-    it.process = std::make_unique<child>(std::vector<std::string>{
-        program("standin_platform_worker"), "--id", it.id, "--body-bytes", service == "files" ? "400000" : "100"});
+    it.process = std::make_unique<child>(std::vector<std::string>{program("standin_platform_worker"), "--id",
+                                                                  it.id, "--body-bytes",
+                                                                  service == "files" ? "400000" : "100"});
     it.address = it.process->wait_listening().at("http");
     put_worker(it, "ready", 1);
     workers_.push_back(std::move(it));
@@ -129,13 +132,16 @@
                      .ready = at(1),
                      .directory = at(2),
                      .control = at(3)};
-    it.settings_path = std::filesystem::temp_directory_path() /
-                       absl::StrCat("berylcrank-", getpid(), "-", it.name, ".conf");
-    std::ofstream(it.settings_path)
-        << "node-name=" << it.name << "\nip=127.0.0.1\nzone=north\ninternal-ports=" << ports[4] << "," << ports[4]
-        << "\nlisten.front=" << it.front << "\nlisten.ready=" << it.ready << "\nlisten.directory=" << it.directory
-        << "\nlisten.control=" << it.control << "\nplatform.address=" << store_address_
-        << "\nbounds=grace-s=6,retry-budget-ratio=0.2,retry-budget-burst=60,warmup-factor=1.5,warmup-slack=5\n";
+    it.settings_path =
+        std::filesystem::temp_directory_path() / absl::StrCat("berylcrank-", getpid(), "-", it.name, ".conf");
+    std::ofstream(it.settings_path) << "node-name=" << it.name
+                                    << "\nip=127.0.0.1\nzone=north\ninternal-ports=" << ports[4] << ","
+                                    << ports[4] << "\nlisten.front=" << it.front
+                                    << "\nlisten.ready=" << it.ready << "\nlisten.directory=" << it.directory
+                                    << "\nlisten.control=" << it.control
+                                    << "\nplatform.address=" << store_address_
+                                    << "\nbounds=grace-s=6,retry-budget-ratio=0.2,retry-budget-burst=60,"
+                                       "warmup-factor=1.5,warmup-slack=5\n";
     it.process = std::make_unique<child>(
         std::vector<std::string>{program("berylcrank"), "gateway", "--settings", it.settings_path});
     nodes_.push_back(std::move(it));
@@ -147,7 +153,8 @@
 }
 
 test_answer platform_deployment::request(const platform_node& node, const std::string& method,
-                                         const std::string& path, const std::string& id, const std::string& body) {
+                                         const std::string& path, const std::string& id,
+                                         const std::string& body) {
     return send({.address = node.front,
                  .method = method,
                  .path = path,
--- a/tests/support/platform_deployment.h
+++ b/tests/support/platform_deployment.h
@@ -29,11 +29,12 @@
     std::unique_ptr<child> process;
 };
 
-/** A small deployment on the platform's stand-ins, as separate processes on loopback: store, workers, gateways. */
+/** A small deployment on the platform's stand-ins, as separate processes on loopback: store, workers,
+ * gateways. */
 class platform_deployment {
 public:
-    /** Starts the store, publishes version 1 and starts `nodes` gateways and, for each service, `workers` workers.
-        Services: "lookups" (route /l/, safe), "orders" (/o/, unsafe), "files" (/f/, download). */
+    /** Starts the store, publishes version 1 and starts `nodes` gateways and, for each service, `workers`
+       workers. Services: "lookups" (route /l/, safe), "orders" (/o/, unsafe), "files" (/f/, download). */
     platform_deployment(int nodes, int workers);
 
     /** Writes a record of the operators; an empty value drops the key. */
