--- a/modules/berylcrank_balance/admission/admission_rule.h
+++ b/modules/berylcrank_balance/admission/admission_rule.h
@@ -7,6 +7,7 @@
 /** What is known when a request finds no room at any upstream of its service. Times count from now. */
 struct admission_inputs {
     millis since_received;        ///< How long it has been here.
+    millis before;                ///< How long its caller had been waiting when it arrived.
     millis latency_target;        ///< Time within which its response is worth most; 0 when not known.
     millis left;                  ///< Until its deadline.
     std::size_t ahead{0};         ///< Requests that would be served before it.
@@ -17,12 +18,14 @@
 /** Whether a request waits for room, and if not, when its caller should come back. */
 struct admission_decision {
     bool waits{false};
+    bool late{false}; ///< It can no longer be answered within the latency target.
     millis give_up_after;
     millis retry_after;
 };
 
 /** Times of the admission rule. */
 struct admission_options {
+    double late_share{0.3};   ///< Share of the time left that a late request may spend waiting.
     double target_share{0.3}; ///< Share of the latency target that a request may spend waiting.
     millis usual_target{300}; ///< Taken where a route names no target.
     millis least_retry{120};  ///< Shortest time after which a caller may come back.
--- a/modules/berylcrank_balance/admission/wait_queue.cpp
+++ b/modules/berylcrank_balance/admission/wait_queue.cpp
@@ -1,9 +1,11 @@
 #include "modules/berylcrank_balance/admission/wait_queue.h"
 
+#include <algorithm>
+
 namespace berylcrank {
 
 void wait_queue::push(waiting_request it) {
-    const key k{it.priority, it.give_up, it.number};
+    const key k{it.priority, it.late, it.give_up, it.number};
     keys_[it.number] = {it.service, k};
     queues_[it.service].emplace(k, std::move(it));
 }
@@ -52,15 +54,16 @@
     return result;
 }
 
-std::size_t wait_queue::ahead_of(std::string_view service, int priority) const {
+std::size_t wait_queue::ahead_of(std::string_view service, int priority, bool late) const {
     const auto it = queues_.find(service);
-    std::size_t n = 0;
-    if (it != queues_.end()) {
-        for (const auto& [k, waiting] : it->second) {
-            n += waiting.priority <= priority ? 1 : 0;
-        }
+    if (it == queues_.end()) {
+        return 0;
     }
-    return n;
+    return static_cast<std::size_t>(
+        std::count_if(it->second.begin(), it->second.end(), [&](const auto& entry) {
+            const auto& waiting = entry.second;
+            return waiting.priority < priority || (waiting.priority == priority && (late || !waiting.late));
+        }));
 }
 
 } // namespace berylcrank
--- a/modules/berylcrank_balance/admission/wait_queue.h
+++ b/modules/berylcrank_balance/admission/wait_queue.h
@@ -16,11 +16,13 @@
 struct waiting_request {
     std::uint64_t number{0};
     std::string service;
-    int priority{0}; ///< 0 first.
-    instant give_up; ///< The request is refused if it still waits at this moment.
+    int priority{0};  ///< 0 first.
+    bool late{false}; ///< Behind those that can still be answered within their latency target.
+    instant give_up;  ///< The request is refused if it still waits at this moment.
 };
 
-/** Requests that wait at this node for room at an upstream, most urgent first, then earliest give-up.
+/** Requests that wait at this node for room at an upstream: most urgent first, then those that are not late,
+   then earliest give-up.
 
     Answers the load of a burst or a lost failure domain: upstreams get only as many requests as they have
    slots, and urgent requests pass the others.
@@ -39,13 +41,13 @@
     /** Takes out the requests whose give-up has come. */
     std::vector<waiting_request> expired(instant now);
 
-    /** Requests of `service` at least as urgent as `priority`. */
-    [[nodiscard]] std::size_t ahead_of(std::string_view service, int priority) const;
+    /** Requests of `service` that go before one of `priority` that is `late` or not. */
+    [[nodiscard]] std::size_t ahead_of(std::string_view service, int priority, bool late) const;
 
     [[nodiscard]] std::size_t size() const { return keys_.size(); }
 
 private:
-    using key = std::tuple<int, instant, std::uint64_t>;
+    using key = std::tuple<int, bool, instant, std::uint64_t>;
     std::map<std::string, std::map<key, waiting_request>, std::less<>> queues_;
     std::map<std::uint64_t, std::pair<std::string, key>> keys_;
 };
--- a/modules/berylcrank_balance/berylcrank_balance.h
+++ b/modules/berylcrank_balance/berylcrank_balance.h
@@ -10,6 +10,8 @@
     Dependencies: berylcrank_core, Abseil, xxhash. Does no I/O; time and randomness are arguments. One thread.
 */
 
+#include "modules/berylcrank_balance/admission/caller_age.h"
+#include "modules/berylcrank_balance/admission/start_share.h"
 #include "modules/berylcrank_balance/admission/wait_queue.h"
 #include "modules/berylcrank_balance/budget/resend_budget.h"
 #include "modules/berylcrank_balance/catalog/record_book.h"
--- a/modules/berylcrank_balance/choice/upstream_choice.cpp
+++ b/modules/berylcrank_balance/choice/upstream_choice.cpp
@@ -14,6 +14,45 @@
     return std::find(tried.begin(), tried.end(), number) != tried.end();
 }
 
+// What the choice weighs of one upstream.
+struct weighed {
+    bool fits{false}; // it may receive the request now
+    bool below_knee{false};
+    int in_flight{0};
+    double cost{0};
+};
+
+weighed weigh(const upstream& it, load_book& loads, const cold_check& cold_allowed,
+              const choice_options& options, instant now) {
+    const auto& load = loads.at(it.number);
+    const int slots = std::max(1, it.entry.slots);
+    weighed result{.in_flight = loads.in_flight(load, now)};
+    const bool cold = it.cold_until > now;
+    if (load.down_until > now || result.in_flight >= slots || (cold && !cold_allowed(it))) {
+        return result;
+    }
+    result.fits = true;
+    result.below_knee = result.in_flight < usable_slots(slots, options);
+    result.cost = expected_cost(result.in_flight, slots,
+                                load_book::slowness(load, loads.usual_slowness(), now), options);
+    result.cost *= cold ? cold_slowness : 1;
+    result.cost += it.entry.failure_domain == options.failure_domain ? 0 : options.other_domain_cost;
+    result.cost *= load.outcomes_at == instant{} ? options.untried_factor : 1;
+    result.cost /= std::pow(1 - load_book::failure_share(load, now), failure_weight);
+    return result;
+}
+
+void consider(const upstream_ptr& it, const weighed& found, upstream_pick& best) {
+    if (best.it && found.cost >= best.cost) {
+        best.runner_up = best.runner_up == 0 ? found.cost : std::min(best.runner_up, found.cost);
+        return;
+    }
+    best.runner_up = best.it ? best.cost : 0;
+    best.it = it;
+    best.cost = found.cost;
+    best.in_flight = found.in_flight;
+}
+
 } // namespace
 
 int usable_slots(int slots, const choice_options& options) {
@@ -37,45 +76,26 @@
                               const cold_check& cold_allowed, const choice_options& options,
                               random_source& random, instant now) {
     upstream_pick best;
-    double best_key = 0;
     bool below_knee = false;
     for (const auto& it : candidates) {
         if (!directory.usable(*it) || contains(tried, it->number)) {
             continue;
         }
         best.any_usable = true;
-        const auto& load = loads.at(it->number);
-        const int slots = std::max(1, it->entry.slots);
-        const int in_flight = loads.in_flight(load, now);
-        if (load.down_until > now || in_flight >= slots) {
-            continue;
-        }
-        const bool cold = it->cold_until > now;
-        if (cold && !cold_allowed(*it)) {
-            continue;
-        }
-        below_knee = below_knee || in_flight < usable_slots(slots, options);
-        double cost =
-            expected_cost(in_flight, slots, load_book::slowness(load, loads.usual_slowness(), now), options);
-        cost *= cold ? cold_slowness : 1;
-        cost += it->entry.failure_domain == options.failure_domain ? 0 : options.other_domain_cost;
-        cost *= load.outcomes_at == instant{} ? options.untried_factor : 1;
-        cost /= std::pow(1 - load_book::failure_share(load, now), failure_weight);
-        const double key = cost * (1 + options.jitter * random.unit());
-        if (!best.it || key < best_key) {
-            best.runner_up = best.it ? best.cost : 0;
-            best.it = it;
-            best.cost = cost;
-            best.in_flight = in_flight;
-            best.report_age = load.reported ? now - load.report.at : millis{-1};
-            best_key = key;
-        } else if (best.runner_up == 0 || cost < best.runner_up) {
-            best.runner_up = cost;
+        auto found = weigh(*it, loads, cold_allowed, options, now);
+        if (found.fits) {
+            below_knee = below_knee || found.below_knee;
+            found.cost *= 1 + options.jitter * random.unit();
+            consider(it, found, best);
         }
     }
     if (!below_knee) {
         best.it = nullptr; // one request more anywhere would end fewer of them a second
     }
+    if (best.it) {
+        const auto& load = loads.at(best.it->number);
+        best.report_age = load.reported ? now - load.report.at : millis{-1};
+    }
     return best;
 }
 
--- a/modules/berylcrank_balance/peers/peer_table.cpp
+++ b/modules/berylcrank_balance/peers/peer_table.cpp
@@ -238,6 +238,12 @@
     }));
 }
 
+std::size_t peer_table::known_in_cell() const {
+    return static_cast<std::size_t>(std::count_if(peers_.begin(), peers_.end(), [&](const auto& it) {
+        return relation(it.second) == peer_relation::same_cell;
+    }));
+}
+
 std::size_t peer_table::rank_among_known() const {
     return static_cast<std::size_t>(
         std::count_if(peers_.begin(), peers_.end(), [&](const auto& it) { return precedes(it.second); }));
--- a/modules/berylcrank_balance/peers/peer_table.h
+++ b/modules/berylcrank_balance/peers/peer_table.h
@@ -123,6 +123,8 @@
     /** Number of cells. */
     [[nodiscard]] std::size_t cell_count() const;
 
+    /** Other nodes of the cell whose addresses are known. */
+    [[nodiscard]] std::size_t known_in_cell() const;
     /** Place of this node among the live ones that can read the store, or among all live ones if it cannot
        itself; largest capacity first; 0 is the first. */
     [[nodiscard]] std::size_t reader_rank(bool blind, instant now) const;
--- a/modules/berylcrank_gateway/flow/node_state.h
+++ b/modules/berylcrank_gateway/flow/node_state.h
@@ -9,6 +9,8 @@
 #include "modules/berylcrank_gateway/flow/wire_format.h"
 #include "modules/berylcrank_gateway/log/event_log.h"
 
+#include <functional>
+
 namespace berylcrank {
 
 /** What one node believes and what its parts share. Used by one thread.
@@ -33,10 +35,13 @@
     upstream_directory upstreams;
     load_book loads;
     wait_queue waiting;
+    caller_age ages;
+    start_share start;
     warmup_gate warmups;
     peer_table peers;
     upstream_subset subset;
-    connection_pool connections; // to upstreams
+    connection_pool connections;      // to upstreams
+    std::function<void()> hear_peers; // takes the messages that have arrived, so that a choice knows them
     absl::flat_hash_map<std::string, resend_budget> budgets;
     absl::flat_hash_map<std::string, instant> spilled; // when a service last used upstreams of other cells
 
--- a/modules/berylcrank_gateway/flow/request_flow.cpp
+++ b/modules/berylcrank_gateway/flow/request_flow.cpp
@@ -35,7 +35,9 @@
     if (const auto* id = find_header(caller_->head.headers, node_.wire.headers().request_id)) {
         id_ = *id;
     }
-    deadline_ = caller_->received + time_limit(*caller_, *route_, node_);
+    const auto limit = time_limit(*caller_, *route_, node_);
+    deadline_ = caller_->received + limit;
+    before_ = node_.ages.before(route_->name, limit);
 }
 
 void request_flow::start() {
@@ -44,9 +46,11 @@
             self->caller_left();
         }
     };
+    node_.hear_peers();
     const auto now = node_.time.now();
     node_.budget(service_).note_request(now);
-    const auto ahead = node_.waiting.ahead_of(service_, route_->priority);
+    const bool late = decide_admission(admission(now, 0), node_.options.admission).late;
+    const auto ahead = node_.waiting.ahead_of(service_, route_->priority, late);
     const auto picked = ahead == 0 ? pick() : upstream_pick{.any_usable = true};
     if (picked.it) {
         send(picked);
@@ -61,6 +65,7 @@
     node_.waiting.push({.number = number_,
                         .service = service_,
                         .priority = route_->priority,
+                        .late = late,
                         .give_up = now + decision.give_up_after});
 }
 
@@ -72,7 +77,11 @@
             [this, now](const upstream& it) { return node_.cold_allowed(it, now); }, node_.options.choice,
             node_.random, now);
     };
-    const auto best = choose(node_.subset.of_service(service_, now));
+    const auto& members = node_.subset.of_service(service_, now);
+    if (!start_allows(members, now)) {
+        return {.any_usable = true};
+    }
+    const auto best = choose(members);
     const auto& spill = node_.subset.spill_of_service(service_, now);
     if (spill.empty() ||
         (best.it && best.cost < node_.options.choice.spill_cost * node_.loads.usual_slowness())) {
@@ -86,8 +95,20 @@
     return other;
 }
 
+bool request_flow::start_allows(const std::vector<upstream_ptr>& members, instant now) const {
+    int own = 0;
+    double slots = 0;
+    for (const auto& it : members) {
+        const auto* load = node_.loads.find(it->number);
+        own += load == nullptr ? 0 : load->own;
+        slots += node_.upstreams.usable(*it) ? usable_slots(it->entry.slots, node_.options.choice) : 0;
+    }
+    return node_.start.allows(own, slots, node_.peers.known_in_cell() + 1, now);
+}
+
 admission_inputs request_flow::admission(instant now, std::size_t ahead) const {
     return {.since_received = now - caller_->received,
+            .before = before_,
             .latency_target = route_->latency_target,
             .left = deadline_ - now,
             .ahead = ahead,
@@ -106,6 +127,8 @@
         .field("version", node_.routes.version())
         .field("upstream", picked.it->entry.id)
         .field("try", sends_)
+        .field("left_ms", (deadline_ - now).count())
+        .field("before_ms", before_.count())
         .field("cost", picked.cost)
         .field("next_cost", picked.runner_up)
         .field("in_flight", picked.in_flight)
@@ -257,7 +280,7 @@
 
 void request_flow::refuse(std::string_view reason) {
     const auto now = node_.time.now();
-    const auto after = retry_after(admission(now, node_.waiting.ahead_of(service_, route_->priority)),
+    const auto after = retry_after(admission(now, node_.waiting.ahead_of(service_, route_->priority, true)),
                                    node_.options.admission);
     node_.log.line("refused")
         .field("request", id_)
--- a/modules/berylcrank_gateway/flow/request_flow.h
+++ b/modules/berylcrank_gateway/flow/request_flow.h
@@ -47,6 +47,7 @@
 private:
     [[nodiscard]] std::string serialized(const upstream& target, instant now) const;
     [[nodiscard]] admission_inputs admission(instant now, std::size_t ahead) const;
+    [[nodiscard]] bool start_allows(const std::vector<upstream_ptr>& members, instant now) const;
     [[nodiscard]] bool may_send_again(instant now);
     void send_again_or(const std::function<void()>& otherwise, std::string_view reason);
     void deliver(attempt& it);
@@ -64,6 +65,7 @@
     std::uint64_t number_;
     std::string id_;
     instant deadline_;
+    millis before_; // how long the caller had been waiting
     std::vector<std::shared_ptr<attempt>> attempts_;
     std::vector<std::uint32_t> tried_;
     attempt* passing_on_{nullptr}; // the attempt whose response is being passed on piece by piece
--- a/modules/berylcrank_gateway/node/gateway_node.cpp
+++ b/modules/berylcrank_gateway/node/gateway_node.cpp
@@ -48,6 +48,7 @@
                                             }}));
         return listeners_.back().get();
     };
+    node_.hear_peers = [this] { gossip_.poll(); };
     front_ = listen(options.front_address, gateway_);
     listen(options.ready_address, ready_handler_);
     listen(options.directory_address, directory_handler_);
@@ -105,6 +106,9 @@
     }
     if (ready() != was_ready_) {
         was_ready_ = ready();
+        if (was_ready_) {
+            node_.start.begin(now);
+        }
         log_.line(was_ready_ ? "ready" : "not-ready").field("version", node_.routes.version()).send();
         next_hello_ = now;
     }
--- a/modules/berylcrank_gateway/state/state_follower.cpp
+++ b/modules/berylcrank_gateway/state/state_follower.cpp
@@ -57,7 +57,7 @@
         return false; // the store failed: the later a node's place, the rarer it tries
     }
     if (!it.book.complete()) {
-        return now - started_ >= options_.first_read + place;
+        return now - started_ >= options_.first_read + options_.first_step * static_cast<double>(rank);
     }
     if (source == record_source::operators) {
         return rank == 0 || now - it.book.confirmed() >= options_.operators_wait + place;
--- a/modules/berylcrank_gateway/state/state_follower.h
+++ b/modules/berylcrank_gateway/state/state_follower.h
@@ -15,10 +15,11 @@
 struct follower_options {
     millis operators_wait{900}; ///< How long a read of the operators' records may wait at the store.
     millis upstreams_interval{
-        450};               ///< Age of the upstreams' records at which the first node reads them again.
-    millis first_read{150}; ///< For which a new node waits for the records of another node.
-    millis rank_step{350};  ///< Added per place in the order of the nodes, up to `ranks`.
-    int ranks{4};           ///< Places of which one can usually read the store.
+        450};              ///< Age of the upstreams' records at which the first node reads them again.
+    millis first_read{45}; ///< For which a new node waits for the records of another node.
+    millis first_step{60}; ///< Added per place among the known nodes: only the first reads if all start.
+    millis rank_step{350}; ///< Added per place in the order of the nodes, up to `ranks`.
+    int ranks{4};          ///< Places of which one can usually read the store.
     millis late_rank_step{
         150}; ///< Added per place beyond: an outage of the store must not make all nodes call it.
     millis first_retry{250}; ///< Pause after a failed read; doubles.
--- a/program/main.cpp
+++ b/program/main.cpp
@@ -2,6 +2,7 @@
 #ifndef BERYLCRANK_DEPLOY // a deploy build holds what runs on the platform only
 #include "program/command/burn_command.h"
 #include "program/command/check_command.h"
+#include "program/command/explain_command.h"
 #include "program/command/node_command.h"
 #include "program/command/publish_command.h"
 #include "program/command/status_command.h"
@@ -28,6 +29,7 @@
     commands.push_back(std::make_unique<check_command>());
     commands.push_back(std::make_unique<status_command>());
     commands.push_back(std::make_unique<burn_command>());
+    commands.push_back(std::make_unique<explain_command>());
 #endif
     return commands;
 }
--- a/tests/balance/limits_test.cpp
+++ b/tests/balance/limits_test.cpp
@@ -1,4 +1,6 @@
 #include "modules/berylcrank_balance/admission/admission_rule.h"
+#include "modules/berylcrank_balance/admission/caller_age.h"
+#include "modules/berylcrank_balance/admission/start_share.h"
 #include "modules/berylcrank_balance/admission/wait_queue.h"
 #include "modules/berylcrank_balance/budget/resend_budget.h"
 #include "modules/berylcrank_balance/warmup/warmup_gate.h"
@@ -46,13 +48,23 @@
     const auto order = push("s", 1, 900);
     const auto other = push("t", 2, 50);
     CHECK(subject.front("s")->number == order);
-    CHECK(subject.ahead_of("s", 1) == 1);
-    CHECK(subject.ahead_of("s", 2) == 2);
+    CHECK(subject.ahead_of("s", 1, false) == 1);
+    CHECK(subject.ahead_of("s", 2, false) == 2);
     subject.erase(order);
     subject.erase(other);
     CHECK(subject.services() == std::vector<std::string>{"s"});
 }
 
+// Guards against callers who can still be answered in time waiting behind those whose time has passed.
+TEST_CASE_FIXTURE(wait_queue_fixture,
+                  "wait_queue, late request came first, gives the one that is in time first") {
+    subject.push({.number = 1, .service = "s", .priority = 2, .late = true, .give_up = at(50)});
+    subject.push({.number = 2, .service = "s", .priority = 2, .give_up = at(90)});
+    CHECK(subject.front("s")->number == 2);
+    CHECK(subject.ahead_of("s", 2, false) == 1);
+    CHECK(subject.ahead_of("s", 2, true) == 2);
+}
+
 // Guards against requests that wait beyond the time in which they can be served.
 TEST_CASE_FIXTURE(wait_queue_fixture, "wait_queue, give-up has come, hands the request back once") {
     push("s", 2, 100);
@@ -74,6 +86,38 @@
     CHECK_FALSE(decide_admission(in, options).waits);
 }
 
+// Guards against taking a caller's second attempt for one that can still be answered in time.
+TEST_CASE("caller_age, second attempt has less time left, tells what has passed") {
+    caller_age subject;
+    CHECK(subject.before("r", millis{1200}) == millis{0});
+    CHECK(subject.before("r", millis{900}) == millis{300});
+    CHECK(subject.before("other", millis{900}) == millis{0});
+    const admission_options options;
+    const admission_inputs in{.before = millis{300}, .latency_target = millis{200}, .left = millis{900}};
+    CHECK(decide_admission(in, options).late);
+    CHECK(decide_admission(in, options).give_up_after == millis{270});
+}
+
+// Guards against upstreams that are overfilled when all callers come back at once to nodes that have just
+// started. Plays 300 callers at 13 nodes, 62 slots below the knee, no knowledge of the others' requests.
+TEST_CASE("start_share, all nodes start at once, fill the slots about once") {
+    constexpr std::size_t nodes = 13;
+    constexpr double slots = 62;
+    start_share subject;
+    subject.begin(at(0));
+    int sent = 0;
+    for (std::size_t n = 0; n < nodes; ++n) {
+        int own = 0;
+        for (int caller = 0; caller < 300 / 13; ++caller) {
+            own += subject.allows(own, slots, nodes, at(50)) ? 1 : 0;
+        }
+        sent += own;
+    }
+    CHECK(sent >= 62);
+    CHECK(sent <= 62 + 13);
+    CHECK(subject.allows(1000, slots, nodes, at(0) + start_share::duration));
+}
+
 // Guards against callers that all come back together, or only when their time is over.
 TEST_CASE("retry_after, queue of 5 at 20 a second, is when the queue has drained") {
     const admission_options options;
