--- a/modules/berylcrank_gateway/flow/request_flow.cpp
+++ b/modules/berylcrank_gateway/flow/request_flow.cpp
@@ -81,13 +81,13 @@
     if (!start_allows(members, now)) {
         return {.any_usable = true};
     }
-    const auto best = choose(members);
+    auto best = choose(members);
     const auto& spill = node_.subset.spill_of_service(service_, now);
     if (spill.empty() ||
         (best.it && best.cost < node_.options.choice.spill_cost * node_.loads.usual_slowness())) {
         return best;
     }
-    const auto other = choose(spill);
+    auto other = choose(spill);
     if (!other.it || (best.it && best.cost <= other.cost)) {
         return best;
     }
@@ -170,7 +170,7 @@
     caller_->append(it.body);
     it.body.clear();
     if (caller_->backlog() > node_.options.backlog_bytes) {
-        const auto connection = it.connection();
+        const auto& connection = it.connection();
         connection->pause_reading(true);
         caller_->on_drained = [connection] { connection->pause_reading(false); };
     }
@@ -186,22 +186,26 @@
     caller_->begin(head.status, head.reason, headers, length);
 }
 
-void request_flow::on_end(attempt& it) {
-    const auto self = shared_from_this();
+void request_flow::log_end(const attempt& it) {
+    const bool whole = it.result() == attempt_result::response;
+    const bool not_run = it.result() == attempt_result::not_run;
     node_.log.line("attempt-ended")
         .field("request", id_)
         .field("upstream", it.target().entry.id)
-        .field("result", it.result() == attempt_result::response  ? "response"
-                         : it.result() == attempt_result::not_run ? "not-run"
-                                                                  : "may-have-run")
+        .field("result", whole     ? "response"
+                         : not_run ? "not-run"
+                                   : "may-have-run")
         .field("status", it.has_head ? it.head.status : 0)
         .field("failure", it.complete ? "" : to_string(it.failure()))
         .field("error", it.connection() ? it.connection()->error() : "")
         .field("took_ms", (node_.time.now() - it.started()).value())
         .send();
-    node_.metrics.attempt(service_, it.result() == attempt_result::response  ? "response"
-                                    : it.result() == attempt_result::not_run ? "not-run"
-                                                                             : "unknown");
+    node_.metrics.attempt(service_, whole ? "response" : not_run ? "not-run" : "unknown");
+}
+
+void request_flow::on_end(attempt& it) {
+    const auto self = shared_from_this();
+    log_end(it);
     gateway_.drained(service_);
     if (done_ || abandoned_) {
         finish("abandoned", 0);
--- a/modules/berylcrank_gateway/flow/request_flow.h
+++ b/modules/berylcrank_gateway/flow/request_flow.h
@@ -50,6 +50,7 @@
     [[nodiscard]] bool start_allows(const std::vector<upstream_ptr>& members, instant now) const;
     [[nodiscard]] bool may_send_again(instant now);
     void send_again_or(const std::function<void()>& otherwise, std::string_view reason);
+    void log_end(const attempt& it);
     void deliver(attempt& it);
     void begin_response(const response_head& head, std::optional<std::uint64_t> length);
     void fail(int status, std::string_view reason);
--- a/modules/berylcrank_gateway/log/event_log.cpp
+++ b/modules/berylcrank_gateway/log/event_log.cpp
@@ -72,7 +72,7 @@
 
 void log_line::send() {
     if (log_ != nullptr) {
-        log_->take(std::move(text_));
+        log_->take(text_);
         log_ = nullptr;
     }
 }
@@ -102,7 +102,7 @@
     return {this, std::move(text)};
 }
 
-void event_log::take(std::string text) {
+void event_log::take(const std::string& text) {
     if (waiting_.size() + text.size() > max_waiting) {
         ++left_out_;
         return;
--- a/modules/berylcrank_gateway/log/event_log.h
+++ b/modules/berylcrank_gateway/log/event_log.h
@@ -74,7 +74,7 @@
         std::uint64_t left_out{0};
     };
 
-    void take(std::string text);
+    void take(const std::string& text);
 
     int fd_;
     std::string node_;
--- a/modules/berylcrank_gateway/node/gateway_node.cpp
+++ b/modules/berylcrank_gateway/node/gateway_node.cpp
@@ -341,19 +341,22 @@
         learn_loads(it, now);
     }
     if (it.has_marks && follower_.hear(it.marks, now)) {
-        const auto& from = *node_.peers.find(it.node);
-        if (behind_peer_ == 0) {
-            behind_since_ = now;
-        }
-        behind_peer_ = it.node;
-        // One or two nodes of a cell fetch from afar, the others from them; a new node fetches from near.
-        const bool fetches = follower_.complete() && node_.peers.rank_in_cell(now) < cell_fetchers;
-        if (fetches || !node_.peers.many_cells()) {
-            pull(from, now);
-        } else if (node_.peers.relation(from) == peer_relation::same_cell) {
-            // Not all at once from the node that has it first: the others have it soon.
-            behind_since_ = std::min(behind_since_, now - cell_patience + cell_spread * node_.random.unit());
-        }
+        fall_behind(*node_.peers.find(it.node), now);
+    }
+}
+
+void gateway_node::fall_behind(const peer& from, instant now) {
+    if (behind_peer_ == 0) {
+        behind_since_ = now;
+    }
+    behind_peer_ = from.number;
+    // One or two nodes of a cell fetch from afar, the others from them; a new node fetches from near.
+    const bool fetches = follower_.complete() && node_.peers.rank_in_cell(now) < cell_fetchers;
+    if (fetches || !node_.peers.many_cells()) {
+        pull(from, now);
+    } else if (node_.peers.relation(from) == peer_relation::same_cell) {
+        // Not all at once from the node that has it first: the others have it soon.
+        behind_since_ = std::min(behind_since_, now - cell_patience + cell_spread * node_.random.unit());
     }
 }
 
--- a/modules/berylcrank_gateway/node/gateway_node.h
+++ b/modules/berylcrank_gateway/node/gateway_node.h
@@ -50,6 +50,7 @@
     void greet(const node_info& it, bool asks);
     void hear(const node_message& it);
     void learn_loads(const node_message& it, instant now);
+    void fall_behind(const peer& from, instant now);
     void pull(const peer& from, instant now);
     void pull_if_due(instant now);
     bool take_record(record_source source, const state_record& it, bool after_outage);
--- a/modules/berylcrank_gateway/server/exchange.h
+++ b/modules/berylcrank_gateway/server/exchange.h
@@ -18,10 +18,9 @@
 */
 class exchange : public std::enable_shared_from_this<exchange> {
 public:
-    exchange(std::shared_ptr<server_connection> connection, request_head request, std::string content,
+    exchange(const std::shared_ptr<server_connection>& connection, request_head request, std::string content,
              instant when)
-        : head(std::move(request)), body(std::move(content)), received(when),
-          connection_(std::move(connection)) {}
+        : head(std::move(request)), body(std::move(content)), received(when), connection_(connection) {}
 
     const request_head head;
     const std::string body;
--- a/modules/berylcrank_gateway/server/server_connection.cpp
+++ b/modules/berylcrank_gateway/server/server_connection.cpp
@@ -121,42 +121,35 @@
     it->respond(status, reason_phrase(status), {}, "");
 }
 
-void server_connection::flush() {
-    if (flushing_ || !open_ || last_response_queued_) {
-        return;
-    }
-    const auto self = shared_from_this();
-    flushing_ = true;
+// Takes what the first responses have ready; says whether the last of them ends the connection.
+std::pair<std::string, bool> server_connection::take_ready() {
     std::string out;
-    bool close = false;
-    while (!pipeline_.empty() && !close) {
+    while (!pipeline_.empty()) {
         const auto it = pipeline_.front();
         out += it->out_;
         it->out_.clear();
         if (!it->finished_) {
             break;
         }
-        close = it->close_after_;
         pipeline_.pop_front();
+        if (it->close_after_) {
+            return {std::move(out), true};
+        }
     }
+    return {std::move(out), false};
+}
+
+void server_connection::flush() {
+    if (!open_ || last_response_queued_) {
+        return;
+    }
+    const auto self = shared_from_this();
+    auto [out, last] = take_ready();
     last_activity_ = context_.time.now();
-    if (close) {
-        no_more_requests_ = true;
-        last_response_queued_ = true;
-    }
-    const auto drained = [self, close](bool ok) {
-        if (!ok) {
-            self->end_of_input();
-        } else if (close) {
-            self->close_gently();
-        } else if (!self->pipeline_.empty() && self->pipeline_.front()->on_drained) {
-            const auto handler = self->pipeline_.front()->on_drained;
-            handler();
-        }
-    };
-    flushing_ = false;
+    no_more_requests_ = no_more_requests_ || last;
+    last_response_queued_ = last;
     if (!out.empty()) {
-        writer_.write(std::move(out), self, drained);
+        writer_.write(std::move(out), self, [self, last = last](bool ok) { self->written(ok, last); });
     }
     if (!unread_.empty() && pipeline_.size() < max_pipeline && open_) {
         const auto bytes = std::move(unread_);
@@ -166,6 +159,17 @@
     }
 }
 
+void server_connection::written(bool ok, bool last) {
+    if (!ok) {
+        end_of_input();
+    } else if (last) {
+        close_gently();
+    } else if (!pipeline_.empty() && pipeline_.front()->on_drained) {
+        const auto handler = pipeline_.front()->on_drained;
+        handler();
+    }
+}
+
 void server_connection::close_gently() {
     if (shut_down_ || !open_) {
         return;
--- a/modules/berylcrank_gateway/server/server_connection.h
+++ b/modules/berylcrank_gateway/server/server_connection.h
@@ -10,6 +10,8 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <string>
+#include <utility>
 
 namespace berylcrank {
 
@@ -62,6 +64,8 @@
     void refuse(int status);
     void request_complete();
     void end_of_input();
+    std::pair<std::string, bool> take_ready();
+    void written(bool ok, bool last);
     void close_gently();
 
     boost::asio::ip::tcp::socket socket_;
@@ -76,7 +80,6 @@
     bool reading_message_{false};
     bool no_more_requests_{false};
     bool shut_down_{false};
-    bool flushing_{false};
     bool last_response_queued_{false};
 };
 
--- a/modules/berylcrank_gateway/state/state_follower.h
+++ b/modules/berylcrank_gateway/state/state_follower.h
@@ -45,7 +45,7 @@
 
     /** `self` names this node and `incarnation` orders its starts. */
     state_follower(metadata_store& store, const clock& time, event_log& log, follower_options options,
-                   std::uint64_t self, std::uint64_t incarnation, change_handler changed);
+                   std::uint64_t self, std::uint64_t incarnation, const change_handler& changed);
 
     /** Starts reads that are due; `rank` is this node's place among the live nodes. */
     void tick(std::size_t rank, instant now);
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -34,13 +34,22 @@
     git diff --exit-code --stat -- generated
 }
 step_build() { configure build && compile build; }
-step_lint() {
-    sources | grep -E '^(modules|program|standins|bench)/.*\.cpp$' |
-        xargs -P "$jobs" -n 2 clang-tidy -p build --quiet 2>/dev/null >build/lint.log || {
+# The analyzer follows Boost.Asio and Boost.JSON for minutes a file and reports falsely within them
+# (epoll_reactor.ipp: "Called C++ object pointer is null"), so files that use them get all other checks.
+uses_boost_asio='^(modules/berylcrank_gateway|platform|standins/platform_|program/command/gateway_)'
+lint() { # further arguments of clang-tidy; files on standard input
+    xargs -P "$jobs" -n 2 clang-tidy -p build --quiet "$@" 2>/dev/null >>build/lint.log || {
         grep -E 'error|warning' build/lint.log | sort -u | head -60
         return 1
     }
 }
+step_lint() {
+    local files
+    files=$(sources | grep -E '^(modules|platform|program|standins|bench)/.*\.cpp$')
+    : >build/lint.log
+    grep -vE "$uses_boost_asio" <<<"$files" | lint
+    grep -E "$uses_boost_asio" <<<"$files" | lint '--checks=-clang-analyzer-*'
+}
 step_unit() { run_ctest build unit "$jobs"; }
 step_process() { run_ctest build process 4; }
 step_asan() {
--- a/tests/report/story_test.cpp
+++ b/tests/report/story_test.cpp
@@ -47,6 +47,17 @@
                              "broken-off after 8.5 ms");
 }
 
+// Guards against a silent upstream being told as a request that was never sent.
+TEST_CASE_FIXTURE(story_fixture, "request_story, upstream stays silent, names it and what was known of it") {
+    read(
+        R"({"at":1,"node":"vm-1","event":"sent","request":"id-1","upstream":"u-1","in_flight":2,"report_age_ms":31}
+{"at":1211,"node":"vm-1","event":"failed","request":"id-1","status":504,"reason":"out-of-time"}
+)");
+    CHECK(subject.cause() ==
+          "answered 504 (out-of-time); its last attempt, at u-1 with 2 others and a report of 31 ms, "
+          "got no response");
+}
+
 // Guards against a tool that ends at the first line that is not one of ours.
 TEST_CASE_FIXTURE(story_fixture, "request_story, lines of other programs, counts them and goes on") {
     read("hello\n{\"a\":\n{\"event\":\"sent\",\"request\":\"id-1\",\"at\":1}\n[]\n");
