--- a/modules/berylcrank_gateway/state/state_follower.cpp
+++ b/modules/berylcrank_gateway/state/state_follower.cpp
@@ -31,7 +31,7 @@
 
 state_follower::state_follower(metadata_store& store, const clock& time, event_log& log,
                                follower_options options, std::uint64_t self, std::uint64_t incarnation,
-                               change_handler changed)
+                               const change_handler& changed)
     : store_(store), time_(time), log_(log),
       options_(options), follows_{follow{.book = record_book([this, changed](const state_record& it) {
                                              return changed(record_source::operators, it,
