Give every type of the one program its own name; split two long files

Cause: five process tests of the own interface failed since the gateway was linked into the same binary: load_report, service_config, service_entry, attempt_result and connection_context were defined twice in one namespace, and the linker kept either's inline functions. The three gateway process tests failed under ThreadSanitizer as well. Ruled out: load of the machine (failed each time by hand); ports and settings (nodes answered until their first request). Change: the gateway's types are renamed; scripts/check-names.sh fails where two headers define a name. Before: at_most_once, cold_start, config_failure, planned_stop, whole_path failed, check-names lists five types.

--- a/modules/berylcrank_balance/config/service_config.h
+++ b/modules/berylcrank_balance/config/deployment_config.h
@@ -40,7 +40,7 @@
 };
 
 /** A service as the operator describes it. */
-struct service_entry {
+struct service_rules {
     std::string name;
     std::string health_path;
     int max_connections{0};       ///< Connections one upstream accepts from all nodes; 0 when not known.
@@ -57,10 +57,10 @@
 };
 
 /** A whole configuration of one version. */
-struct service_config {
+struct deployment_config {
     std::uint64_t version{0};
     std::vector<route_entry> routes;
-    std::vector<service_entry> services;
+    std::vector<service_rules> services;
     ingress_limits limits;
 };
 
--- a/modules/berylcrank_balance/config/route_table.cpp
+++ b/modules/berylcrank_balance/config/route_table.cpp
@@ -13,11 +13,11 @@
 
 } // namespace
 
-bool route_table::apply(service_config config) {
+bool route_table::apply(deployment_config config) {
     if (config_ && config.version <= config_->version) {
         return false;
     }
-    config_ = std::make_shared<const service_config>(std::move(config));
+    config_ = std::make_shared<const deployment_config>(std::move(config));
     by_host_.clear();
     services_.clear();
     for (const auto& it : config_->routes) {
@@ -47,7 +47,7 @@
     return nullptr;
 }
 
-const service_entry* route_table::service(std::string_view name) const {
+const service_rules* route_table::service(std::string_view name) const {
     const auto it = services_.find(absl::string_view(name.data(), name.size()));
     return it == services_.end() ? nullptr : it->second;
 }
--- a/modules/berylcrank_balance/config/route_table.h
+++ b/modules/berylcrank_balance/config/route_table.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "modules/berylcrank_balance/config/service_config.h"
+#include "modules/berylcrank_balance/config/deployment_config.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <memory>
@@ -10,12 +10,12 @@
 
 /** The configuration in force, indexed by host and path. Versions only grow within one process.
 
-    @see service_config
+    @see deployment_config
 */
 class route_table {
 public:
     /** Puts `config` in force unless its version is not above the present one; returns whether it did. */
-    bool apply(service_config config);
+    bool apply(deployment_config config);
 
     /** True once a configuration is in force. */
     [[nodiscard]] bool ready() const { return config_ != nullptr; }
@@ -28,19 +28,19 @@
     [[nodiscard]] std::shared_ptr<const route_entry> find(std::string_view host, std::string_view path) const;
 
     /** The service of that name in the configuration in force; null if it has none. */
-    [[nodiscard]] const service_entry* service(std::string_view name) const;
+    [[nodiscard]] const service_rules* service(std::string_view name) const;
 
     /** All services of the configuration in force, by name. */
-    [[nodiscard]] const absl::flat_hash_map<std::string, const service_entry*>& services() const {
+    [[nodiscard]] const absl::flat_hash_map<std::string, const service_rules*>& services() const {
         return services_;
     }
 
     [[nodiscard]] const ingress_limits& limits() const;
 
 private:
-    std::shared_ptr<const service_config> config_;
+    std::shared_ptr<const deployment_config> config_;
     absl::flat_hash_map<std::string, std::vector<const route_entry*>> by_host_; // longest prefix first
-    absl::flat_hash_map<std::string, const service_entry*> services_;
+    absl::flat_hash_map<std::string, const service_rules*> services_;
 };
 
 } // namespace berylcrank
--- a/modules/berylcrank_balance/config/weighted_split.h
+++ b/modules/berylcrank_balance/config/weighted_split.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "modules/berylcrank_balance/config/service_config.h"
+#include "modules/berylcrank_balance/config/deployment_config.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <span>
--- a/modules/berylcrank_balance/load/load_book.cpp
+++ b/modules/berylcrank_balance/load/load_book.cpp
@@ -21,7 +21,7 @@
     return it == entries_.end() ? nullptr : &it->second;
 }
 
-void load_book::report(std::uint32_t upstream, const load_report& it, bool own_news) {
+void load_book::report(std::uint32_t upstream, const load_snapshot& it, bool own_news) {
     auto& held = at(upstream);
     if (held.reported && held.report.at >= it.at) {
         return;
--- a/modules/berylcrank_balance/load/load_book.h
+++ b/modules/berylcrank_balance/load/load_book.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "modules/berylcrank_balance/load/load_report.h"
+#include "modules/berylcrank_balance/load/load_snapshot.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <span>
@@ -31,7 +31,7 @@
 
     /** What is known of one upstream. */
     struct entry {
-        load_report report;
+        load_snapshot report;
         bool reported{false};
         int own{0};
         int others{0};
@@ -49,7 +49,7 @@
     void forget(std::uint32_t upstream) { entries_.erase(upstream); }
 
     /** Takes a report unless a newer one is known. `own_news`: it is to be passed on to the other nodes. */
-    void report(std::uint32_t upstream, const load_report& it, bool own_news);
+    void report(std::uint32_t upstream, const load_snapshot& it, bool own_news);
 
     /** Counts a request in flight of this node. */
     void sent(std::uint32_t upstream) { ++at(upstream).own; }
--- a/modules/berylcrank_balance/load/load_report.h
+++ b/modules/berylcrank_balance/load/load_snapshot.h
@@ -7,7 +7,7 @@
 namespace berylcrank {
 
 /** What an upstream said of its own load in a response. */
-struct load_report {
+struct load_snapshot {
     int running{0};
     int waiting{0};
     int slots{0};
--- a/modules/berylcrank_gateway/flow/attempt.cpp
+++ b/modules/berylcrank_gateway/flow/attempt.cpp
@@ -79,12 +79,12 @@
         if (head.status == 421) {
             node_.loads.unreachable(target_->number, node_.time.now());
         }
-        end(attempt_result::not_run);
+        end(send_result::not_run);
         return;
     }
     count_outcome(head.status < 500, 1);
     node_.loads.reachable(target_->number);
-    end(attempt_result::response);
+    end(send_result::response);
 }
 
 void attempt::on_failed(call_failure why) {
@@ -93,11 +93,11 @@
     if (why == call_failure::not_connected) {
         node_.loads.unreachable(target_->number, now);
         node_.connections.forget(connection_key(*target_));
-        end(attempt_result::not_run);
+        end(send_result::not_run);
         return;
     }
     count_outcome(false, 1);
-    end(attempt_result::unknown);
+    end(send_result::unknown);
 }
 
 void attempt::count_outcome(bool good, double weight) {
@@ -111,10 +111,10 @@
         return;
     }
     connection_->cancel();
-    end(attempt_result::unknown);
+    end(send_result::unknown);
 }
 
-void attempt::end(attempt_result result) {
+void attempt::end(send_result result) {
     if (ended_) {
         return;
     }
--- a/modules/berylcrank_gateway/flow/attempt.h
+++ b/modules/berylcrank_gateway/flow/attempt.h
@@ -9,7 +9,7 @@
 class attempt;
 
 /** What one attempt proved. */
-enum class attempt_result : std::uint8_t {
+enum class send_result : std::uint8_t {
     response, ///< A whole response, or one that is being passed on.
     not_run,  ///< The upstream said that it did not run the request, or was never reached.
     unknown,  ///< No whole response; the request may have run.
@@ -54,7 +54,7 @@
 
     [[nodiscard]] const upstream& target() const { return *target_; }
     [[nodiscard]] bool ended() const { return ended_; }
-    [[nodiscard]] attempt_result result() const { return result_; }
+    [[nodiscard]] send_result result() const { return result_; }
     [[nodiscard]] call_failure failure() const { return failure_; }
     [[nodiscard]] bool reached() const { return connection_ && connection_->connected(); }
     [[nodiscard]] instant started() const { return started_; }
@@ -68,7 +68,7 @@
     bool complete{false}; ///< The response is whole.
 
 private:
-    void end(attempt_result result);
+    void end(send_result result);
     void count_outcome(bool good, double weight);
 
     node_state& node_;
@@ -79,7 +79,7 @@
     std::shared_ptr<attempt> keep_;
     instant started_;
     instant last_news_;
-    attempt_result result_{attempt_result::unknown};
+    send_result result_{send_result::unknown};
     call_failure failure_{call_failure::no_response};
     bool counted_{false};
     bool ended_{false};
--- a/modules/berylcrank_gateway/flow/request_flow.cpp
+++ b/modules/berylcrank_gateway/flow/request_flow.cpp
@@ -5,7 +5,6 @@
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
-#include <absl/strings/str_format.h>
 #include <algorithm>
 
 namespace berylcrank {
@@ -187,8 +186,8 @@
 }
 
 void request_flow::log_end(const attempt& it) {
-    const bool whole = it.result() == attempt_result::response;
-    const bool not_run = it.result() == attempt_result::not_run;
+    const bool whole = it.result() == send_result::response;
+    const bool not_run = it.result() == send_result::not_run;
     node_.log.line("attempt-ended")
         .field("request", id_)
         .field("upstream", it.target().entry.id)
@@ -211,9 +210,9 @@
         finish("abandoned", 0);
         return;
     }
-    if (it.result() == attempt_result::response) {
+    if (it.result() == send_result::response) {
         deliver(it);
-    } else if (it.result() == attempt_result::not_run) {
+    } else if (it.result() == send_result::not_run) {
         if (!it.reached() && !it.complete) {
             --sends_; // nothing was sent
             ++unreached_;
@@ -282,122 +281,4 @@
     send(picked);
 }
 
-void request_flow::refuse(std::string_view reason) {
-    const auto now = node_.time.now();
-    const auto after = retry_after(admission(now, node_.waiting.ahead_of(service_, route_->priority, true)),
-                                   node_.options.admission);
-    node_.log.line("refused")
-        .field("request", id_)
-        .field("route", route_->name)
-        .field("reason", reason)
-        .field("retry_after_ms", after.count())
-        .field("waiting", static_cast<std::uint64_t>(node_.waiting.size()))
-        .field("held_ms", (now - caller_->received).count())
-        .send();
-    caller_->respond(503, reason_phrase(503),
-                     {{node_.wire.headers().retry_after, absl::StrFormat("%.3f", after.value() / 1000)}}, "");
-    finish("refused", 503);
-}
-
-void request_flow::fail(int status, std::string_view reason) {
-    node_.log.line("failed")
-        .field("request", id_)
-        .field("route", route_->name)
-        .field("status", status)
-        .field("reason", reason)
-        .field("tries", sends_)
-        .field("held_ms", (node_.time.now() - caller_->received).count())
-        .send();
-    caller_->respond(status, reason_phrase(status), {}, "");
-    finish(reason, status);
-}
-
-void request_flow::check_time(instant now) {
-    if (done_) {
-        return;
-    }
-    const auto self = shared_from_this();
-    const auto attempts = attempts_;
-    for (const auto& it : attempts) {
-        it->check_connect(now);
-    }
-    if (done_ || abandoned_) {
-        return;
-    }
-    if (passing_on_ != nullptr) {
-        if (now - passing_on_->last_news() > node_.options.stall_limit && caller_->backlog() == 0) {
-            finish("stalled", passing_on_->head.status);
-            caller_->abort();
-        }
-        return;
-    }
-    if (now < deadline_) {
-        return;
-    }
-    for (const auto& it : attempts_) {
-        if (!it->ended() && it->has_head && !it->not_run) {
-            passing_on_ = it.get(); // a response that has begun is passed on, also late
-            begin_response(it->head, it->head.length);
-            on_progress(*it);
-            return;
-        }
-    }
-    if (sends_ == 0) {
-        refuse("out-of-time");
-    } else {
-        for (const auto& it : attempts_) {
-            if (!it->ended()) {
-                node_.loads.outcome(it->target().number, {.bad = 1}, now, true);
-            }
-        }
-        fail(504, "out-of-time");
-    }
-}
-
-void request_flow::caller_left() {
-    if (done_) {
-        return;
-    }
-    const auto self = shared_from_this();
-    node_.log.line("caller-left").field("request", id_).field("tries", sends_).send();
-    const bool running =
-        std::any_of(attempts_.begin(), attempts_.end(), [](const auto& it) { return !it->ended(); });
-    if (running && !is_idempotent(route_->rule)) {
-        abandoned_ = true; // let the work end; the response is dropped
-        return;
-    }
-    finish("caller-left", 0);
-}
-
-void request_flow::drop_attempts() {
-    const auto attempts = std::move(attempts_);
-    attempts_.clear();
-    for (const auto& it : attempts) {
-        it->cancel();
-    }
-}
-
-void request_flow::finish(std::string_view result, int status) {
-    if (done_) {
-        return;
-    }
-    const auto self = shared_from_this();
-    done_ = true;
-    const auto took = node_.time.now() - caller_->received;
-    node_.log.line("answered")
-        .field("request", id_)
-        .field("route", route_->name)
-        .field("result", result)
-        .field("status", status)
-        .field("tries", sends_)
-        .field("took_ms", took.value())
-        .send();
-    node_.metrics.response(service_, std::string(result), took.value() / 1000);
-    if (waiting_) {
-        node_.waiting.erase(number_);
-    }
-    drop_attempts();
-    gateway_.ended(number_);
-}
-
 } // namespace berylcrank
--- a/modules/berylcrank_gateway/flow/wire_format.h
+++ b/modules/berylcrank_gateway/flow/wire_format.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "modules/berylcrank_balance/catalog/upstream_entry.h"
-#include "modules/berylcrank_balance/config/service_config.h"
-#include "modules/berylcrank_balance/load/load_report.h"
+#include "modules/berylcrank_balance/config/deployment_config.h"
+#include "modules/berylcrank_balance/load/load_snapshot.h"
 
 #include <boost/leaf/result.hpp>
 #include <optional>
@@ -40,13 +40,14 @@
     [[nodiscard]] virtual const header_names& headers() const = 0;
 
     /** Reads the load header; nothing if it cannot be read. `at` is left to the caller. */
-    [[nodiscard]] virtual std::optional<load_report> read_load(std::string_view value) const = 0;
+    [[nodiscard]] virtual std::optional<load_snapshot> read_load(std::string_view value) const = 0;
 
     /** What an operators' key names; `failure_domain` is set for an evacuation. */
     [[nodiscard]] virtual operator_record classify(std::string_view key,
                                                    std::string& failure_domain) const = 0;
 
-    [[nodiscard]] virtual boost::leaf::result<service_config> read_config(std::string_view value) const = 0;
+    [[nodiscard]] virtual boost::leaf::result<deployment_config>
+    read_config(std::string_view value) const = 0;
 
     /** Reads a registration; `id` is its key. */
     [[nodiscard]] virtual boost::leaf::result<upstream_entry> read_upstream(std::string_view id,
--- a/modules/berylcrank_gateway/peers/node_message.cpp
+++ b/modules/berylcrank_gateway/peers/node_message.cpp
@@ -150,11 +150,11 @@
         result.cold_left = millis{it.getColdLeftMs()};
     }
     if (it.getHasReport()) {
-        result.report = load_report{.running = it.getRunning(),
-                                    .waiting = it.getWaiting(),
-                                    .slots = it.getSlots(),
-                                    .slowness = it.getSlowness() / 100.0,
-                                    .at = now - millis{it.getAgeMs()}};
+        result.report = load_snapshot{.running = it.getRunning(),
+                                      .waiting = it.getWaiting(),
+                                      .slots = it.getSlots(),
+                                      .slowness = it.getSlowness() / 100.0,
+                                      .at = now - millis{it.getAgeMs()}};
     }
     return result;
 }
--- a/modules/berylcrank_gateway/peers/node_message.h
+++ b/modules/berylcrank_gateway/peers/node_message.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "modules/berylcrank_balance/catalog/state_record.h"
-#include "modules/berylcrank_balance/load/load_report.h"
+#include "modules/berylcrank_balance/load/load_snapshot.h"
 #include "modules/berylcrank_balance/peers/peer_table.h"
 
 #include <array>
@@ -25,7 +25,7 @@
 /** What a node has learnt of one upstream since its last message. */
 struct load_news {
     std::uint32_t upstream{0};
-    std::optional<load_report> report; ///< `at` is on the receiver's clock.
+    std::optional<load_snapshot> report; ///< `at` is on the receiver's clock.
     outcome_count outcomes;
     bool unreachable{false};
     std::optional<millis> cold_left;
--- a/modules/berylcrank_gateway/server/http_listener.cpp
+++ b/modules/berylcrank_gateway/server/http_listener.cpp
@@ -28,7 +28,7 @@
 }
 
 http_listener::http_listener(boost::asio::io_context& io, const std::string& address,
-                             connection_context context)
+                             listener_context context)
     : context_(std::move(context)), acceptor_(io) {
     const auto endpoint = parse_endpoint(address);
     acceptor_.open(endpoint.protocol());
--- a/modules/berylcrank_gateway/server/http_listener.h
+++ b/modules/berylcrank_gateway/server/http_listener.h
@@ -16,7 +16,7 @@
 public:
     /** Listens at `address` ("IP:PORT"). Throws boost::system::system_error if the address cannot be taken.
      */
-    http_listener(boost::asio::io_context& io, const std::string& address, connection_context context);
+    http_listener(boost::asio::io_context& io, const std::string& address, listener_context context);
 
     /** Closes connections that are idle or slow; `close_idle` closes all that wait for a request. */
     void check_time(instant now, bool close_idle);
@@ -34,7 +34,7 @@
 private:
     void accept_next();
 
-    connection_context context_;
+    listener_context context_;
     boost::asio::ip::tcp::acceptor acceptor_;
     std::vector<std::weak_ptr<server_connection>> connections_;
 };
--- a/modules/berylcrank_gateway/server/server_connection.cpp
+++ b/modules/berylcrank_gateway/server/server_connection.cpp
@@ -14,7 +14,7 @@
 
 } // namespace
 
-server_connection::server_connection(boost::asio::ip::tcp::socket socket, connection_context& context)
+server_connection::server_connection(boost::asio::ip::tcp::socket socket, listener_context& context)
     : socket_(std::move(socket)), context_(context), writer_(socket_), last_activity_(context.time.now()) {
     boost::system::error_code ec;
     socket_.non_blocking(true, ec);
--- a/modules/berylcrank_gateway/server/server_connection.h
+++ b/modules/berylcrank_gateway/server/server_connection.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "modules/berylcrank_balance/config/service_config.h"
+#include "modules/berylcrank_balance/config/deployment_config.h"
 #include "modules/berylcrank_core/time/clock.h"
 #include "modules/berylcrank_gateway/http/message_parser.h"
 #include "modules/berylcrank_gateway/http/socket_writer.h"
@@ -16,7 +16,7 @@
 namespace berylcrank {
 
 /** What a listener's connections share. */
-struct connection_context {
+struct listener_context {
     const clock& time;
     request_handler& handler;
     std::function<const ingress_limits&()> limits; ///< What callers may send now.
@@ -33,7 +33,7 @@
     /** Time for which bytes are discarded after the last response, so that closing does not reset it. */
     static constexpr millis linger{1000};
 
-    server_connection(boost::asio::ip::tcp::socket socket, connection_context& context);
+    server_connection(boost::asio::ip::tcp::socket socket, listener_context& context);
 
     /** Starts reading. */
     void start();
@@ -69,7 +69,7 @@
     void close_gently();
 
     boost::asio::ip::tcp::socket socket_;
-    connection_context& context_;
+    listener_context& context_;
     socket_writer writer_;
     std::unique_ptr<request_parser> parser_;
     std::deque<exchange_ptr> pipeline_;
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -28,7 +28,10 @@
     fi
 }
 
-step_format() { sources | xargs clang-format --dry-run -Werror; }
+step_format() {
+    sources | xargs clang-format --dry-run -Werror
+    scripts/check-names.sh
+}
 step_generated() {
     schema/generate.sh
     git diff --exit-code --stat -- generated
--- a/tests/adapter/platform_test.cpp
+++ b/tests/adapter/platform_test.cpp
@@ -20,13 +20,13 @@
             [] { return std::optional<upstream_entry>(); });
     }
 
-    std::optional<service_config> config(const std::string& text) {
+    std::optional<deployment_config> config(const std::string& text) {
         return boost::leaf::try_handle_all(
-            [&]() -> boost::leaf::result<std::optional<service_config>> {
+            [&]() -> boost::leaf::result<std::optional<deployment_config>> {
                 BOOST_LEAF_AUTO(it, subject.read_config(text));
-                return std::optional<service_config>(std::move(it));
+                return std::optional<deployment_config>(std::move(it));
             },
-            [] { return std::optional<service_config>(); });
+            [] { return std::optional<deployment_config>(); });
     }
 };
 
--- a/tests/gateway/message_test.cpp
+++ b/tests/gateway/message_test.cpp
@@ -71,7 +71,7 @@
 
 // Guards against knowledge that changes on its way between nodes.
 TEST_CASE("node_message, all fields set, survives encoding") {
-    const load_report report{.running = 3, .waiting = 1, .slots = 4, .slowness = 4.25, .at = at(980)};
+    const load_snapshot report{.running = 3, .waiting = 1, .slots = 4, .slowness = 4.25, .at = at(980)};
     node_message it{.node = 7, .incarnation = 9, .ready = true, .has_marks = true};
     it.marks[1] = {.complete = true, .end = 40, .age = millis{70}, .reader = 5, .read = 6, .changed = 33};
     it.loads.push_back({.upstream = 11,
