Say why a gateway does not start; take test ports that nobody else takes

The node ended with 'bind: Address already in use': the test chose ports that the kernel hands out to others too; and the program said only 'unknown error', since exceptions had no handler of their own. Ruled out: the node's start itself (it had not logged 'started'). Change: exceptions are printed with their reason; test ports lie below the kernel's and in a slice for each process; a test that waits for 'ready' shows what the node logged.

--- a/program/command/gateway_command.cpp
+++ b/program/command/gateway_command.cpp
@@ -90,6 +90,10 @@
                                            std::cerr << "berylcrank gateway: " << reason << "\n";
                                            return exit_code::bad_input;
                                        },
+                                       [](const std::exception& it) {
+                                           std::cerr << "berylcrank gateway: " << it.what() << "\n";
+                                           return exit_code::failed;
+                                       },
                                        [] {
                                            std::cerr << "berylcrank gateway: unknown error\n";
                                            return exit_code::failed;
--- a/tests/support/platform_deployment.cpp
+++ b/tests/support/platform_deployment.cpp
@@ -13,15 +13,28 @@
 
 namespace {
 
-// Ports that were free a moment ago; the kernel hands them out in turn.
+// Free ports for a node, whose settings name them before it starts. They lie below those that the kernel
+// hands out, and test processes that run at the same time take them from different slices, so that nobody
+// takes them meanwhile.
 std::vector<int> free_ports(int n) {
+    constexpr int first_port = 11000;
+    constexpr int slice_size = 60;
+    constexpr int slices = 350;
+    static int next = 0;
+    const int slice = first_port + getpid() % slices * slice_size;
     boost::asio::io_context io;
-    std::vector<boost::asio::ip::tcp::acceptor> held;
     std::vector<int> ports;
-    for (int i = 0; i < n; ++i) {
-        held.emplace_back(io, boost::asio::ip::tcp::endpoint{boost::asio::ip::make_address("127.0.0.1"), 0});
-        ports.push_back(held.back().local_endpoint().port());
+    for (int tried = 0; tried < slice_size && static_cast<int>(ports.size()) < n; ++tried) {
+        const int port = slice + next++ % slice_size;
+        boost::asio::ip::tcp::acceptor probe(io, boost::asio::ip::tcp::v4());
+        boost::system::error_code ec;
+        probe.set_option(boost::asio::ip::tcp::acceptor::reuse_address(true));
+        probe.bind({boost::asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(port)}, ec);
+        if (!ec) {
+            ports.push_back(port);
+        }
     }
+    REQUIRE(static_cast<int>(ports.size()) == n);
     return ports;
 }
 
@@ -163,10 +176,15 @@
 }
 
 void platform_deployment::wait_ready(const platform_node& it) {
-    wait_until(it.name + " is ready", [&] {
-        const auto answer = send({.address = it.ready, .path = "/api/readyz"});
-        return answer.is_whole && answer.status == 200;
-    });
+    constexpr int enough_ms = 2000;                      // for the line that the node logs when it is ready
+    it.process->wait_line("\"event\":\"ready\"", 20000); // a failure shows all that the node logged
+    wait_until(
+        it.name + " is ready",
+        [&] {
+            const auto answer = send({.address = it.ready, .path = "/api/readyz"});
+            return answer.is_whole && answer.status == 200;
+        },
+        enough_ms);
 }
 
 std::vector<platform_worker*> platform_deployment::workers_of(const std::string& service) {
