--- a/modules/berylcrank_gateway/http/socket_writer.cpp
+++ b/modules/berylcrank_gateway/http/socket_writer.cpp
@@ -1,16 +1,16 @@
 #include "modules/berylcrank_gateway/http/socket_writer.h"
 
-#include <array>
 #include <boost/asio/buffer.hpp>
+#include <utility>
 
 namespace berylcrank {
 
 void socket_writer::write(std::string bytes, const std::shared_ptr<void>& keep, done_handler done) {
-    done_ = std::move(done);
     if (failed_) {
-        done_(false);
+        done(false);
         return;
     }
+    done_ = std::move(done);
     if (!bytes.empty()) {
         pending_ += bytes.size();
         queue_.push_back(std::move(bytes));
@@ -49,7 +49,8 @@
             front_offset_ = 0;
         }
     }
-    if (const auto done = done_) {
+    // The handler may hold the owner of this writer, so it is not kept beyond its call.
+    if (const auto done = std::exchange(done_, nullptr)) {
         done(true);
     }
 }
@@ -58,7 +59,7 @@
     failed_ = true;
     queue_.clear();
     pending_ = 0;
-    if (const auto done = done_) {
+    if (const auto done = std::exchange(done_, nullptr)) {
         done(false);
     }
 }
--- a/modules/berylcrank_gateway/http/socket_writer.h
+++ b/modules/berylcrank_gateway/http/socket_writer.h
@@ -18,8 +18,9 @@
 
     explicit socket_writer(boost::asio::ip::tcp::socket& socket) : socket_(socket) {}
 
-    /** Queues bytes. `done` runs when the queue has become empty, or with false when the socket failed; it
-       may run before the call returns. */
+    /** Queues bytes. `done` runs once when the queue has become empty, or with false when the socket failed;
+       it may run before the call returns. A call whose bytes still wait replaces the handler of the one
+       before. */
     void write(std::string bytes, const std::shared_ptr<void>& keep, done_handler done);
 
     /** Bytes that the socket has not taken yet. */
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -40,16 +40,10 @@
 # The analyzer follows Boost.Asio and Boost.JSON for minutes a file and reports falsely within them
 # (epoll_reactor.ipp: "Called C++ object pointer is null"), so files that use them get all other checks.
 uses_boost_asio='^(modules/berylcrank_gateway|platform|standins/platform_|program/command/gateway_)'
-lint() { # further arguments of clang-tidy; files on standard input
-    xargs -P "$jobs" -n 2 clang-tidy -p build --quiet "$@" 2>/dev/null >>build/lint.log || {
-        grep -E 'error|warning' build/lint.log | sort -u | head -60
-        return 1
-    }
-}
+lint() { scripts/lint.py build "$@"; } # further arguments of clang-tidy; files on standard input
 step_lint() {
     local files
     files=$(sources | grep -E '^(modules|platform|program|standins|bench)/.*\.cpp$')
-    : >build/lint.log
     grep -vE "$uses_boost_asio" <<<"$files" | lint
     grep -E "$uses_boost_asio" <<<"$files" | lint '--checks=-clang-analyzer-*'
 }
