Keep an attempt while a piece of its response is written; the caller may have left

A write to a caller who has reset ends the flow and frees the attempt that is being passed on; on_progress then cleared the freed attempt's body. Change: on_progress holds attempt and flow and returns if the flow has ended.

--- a/modules/berylcrank_gateway/flow/request_flow.cpp
+++ b/modules/berylcrank_gateway/flow/request_flow.cpp
@@ -193,12 +193,18 @@
     if (passing_on_ == nullptr && it.body.size() < node_.options.hold_bytes) {
         return;
     }
+    // Writing may find that the caller has left, which ends the attempt and this flow.
+    const auto keep = it.shared_from_this();
+    const auto self = shared_from_this();
     if (passing_on_ == nullptr) {
         passing_on_ = &it;
         begin_response(it.head, it.head.length);
     }
     caller_->append(it.body);
     it.body.clear();
+    if (done_ || abandoned_) {
+        return;
+    }
     if (caller_->backlog() > node_.options.backlog_bytes) {
         const auto& connection = it.connection();
         connection->pause_reading(true);
--- a/standins/platform_worker/worker.cpp
+++ b/standins/platform_worker/worker.cpp
@@ -192,6 +192,9 @@
         int n = 0;
         if (pair.first == "mode") {
             behaviour_.mode = pair.second;
+        } else if (int bytes = 0;
+                   pair.first == "bytes" && absl::SimpleAtoi(pair.second, &bytes) && bytes >= 0) {
+            behaviour_.body_bytes = static_cast<std::size_t>(bytes);
         } else if (absl::SimpleAtoi(pair.second, &n)) {
             (pair.first == "work"       ? behaviour_.work_ms
              : pair.first == "slowness" ? behaviour_.slowness
--- a/tests/process/gateway_path_test.cpp
+++ b/tests/process/gateway_path_test.cpp
@@ -137,4 +137,25 @@
     node.process->wait_line("\"event\":\"answered\",\"request\":\"g-1\"");
 }
 
+// Guards against a node that goes on with a request which ended while a piece of its response was being
+// written.
+TEST_CASE_FIXTURE(gateway_path_fixture,
+                  "gateway, callers reset their connections during large downloads, goes on") {
+    constexpr int callers = 40;
+    for (const auto* it : subject.workers_of("files")) {
+        subject.behave(*it, "bytes=4000000&work=1");
+    }
+    const auto& node = subject.nodes().front();
+    for (int i = 0; i < callers; ++i) {
+        auto connection = raw_connection::to(node.front);
+        REQUIRE(connection.send(pipelined("/f/a", "d-" + std::to_string(i))));
+        connection.read_until("\r\n\r\n");
+        connection.reset();
+    }
+    const auto answer = subject.request(node, "GET", "/l/a", "after");
+    CHECK(answer.status == 200);
+    node.process->send(SIGTERM);
+    CHECK(node.process->wait_exit(7000) == 0);
+}
+
 } // namespace berylcrank::testing
