--- a/tests/process/oversized_order_test.cpp
+++ b/tests/process/oversized_order_test.cpp
@@ -4,7 +4,8 @@
 
 namespace berylcrank::testing {
 
-// Guards against a false "not run", or no answer at all, for a copy of an order that ran whose body is too large.
+// Guards against a false "not run", or no answer at all, for a copy of an order that ran whose body is too
+// large.
 TEST_CASE("whole path, order that ran, resent with an oversized body, is answered and never called not run") {
     deployment subject{{.services = {{.name = "inventario", .request_class = "lookup"},
                                      {.name = "pedidos", .request_class = "order"},
