--- a/modules/berylcrank_gateway/flow/request_flow.h
+++ b/modules/berylcrank_gateway/flow/request_flow.h
@@ -56,6 +56,7 @@
     void cancel_others(const attempt& chosen);
     [[nodiscard]] hedge_inputs hedge_state(const attempt& open, instant now) const;
     void hedge_if_due(instant now);
+    void end_at_deadline(const std::vector<std::shared_ptr<attempt>>& attempts, instant now);
     void send_again_or(const std::function<void()>& otherwise, std::string_view reason);
     void log_end(const attempt& it);
     void deliver(attempt& it);
--- a/modules/berylcrank_gateway/flow/request_flow_end.cpp
+++ b/modules/berylcrank_gateway/flow/request_flow_end.cpp
@@ -61,6 +61,10 @@
         hedge_if_due(now);
         return;
     }
+    end_at_deadline(attempts, now);
+}
+
+void request_flow::end_at_deadline(const std::vector<std::shared_ptr<attempt>>& attempts, instant now) {
     for (const auto& it : attempts) {
         if (!it->ended() && it->has_head && !it->not_run) {
             passing_on_ = it.get(); // a response that has begun is passed on, also late
@@ -73,7 +77,7 @@
     if (sends_ == 0) {
         refuse("out-of-time");
     } else {
-        for (const auto& it : attempts_) {
+        for (const auto& it : attempts) {
             if (!it->ended()) {
                 node_.loads.outcome(it->target().number, {.bad = 1}, now, true);
             }
--- a/modules/berylcrank_gateway/peers/node_message.cpp
+++ b/modules/berylcrank_gateway/peers/node_message.cpp
@@ -159,6 +159,15 @@
     return result;
 }
 
+void write(capnp::List<schema::Waiting>::Builder to, const std::vector<waiting_count>& counts) {
+    for (unsigned i = 0; i < counts.size(); ++i) {
+        to[i].setService(counts[i].service);
+        to[i].setOnTime(clamped<std::uint16_t>(counts[i].on_time));
+        to[i].setLate(clamped<std::uint16_t>(counts[i].late));
+        to[i].setPerSecond(clamped<std::uint16_t>(counts[i].per_second));
+    }
+}
+
 node_message read_message(schema::NodeMessage::Reader it, instant now) {
     node_message result{.node = it.getNode(),
                         .incarnation = it.getIncarnation(),
@@ -228,13 +237,7 @@
         flights[i].setUpstream(it.in_flight[i].upstream);
         flights[i].setCount(clamped<std::uint16_t>(it.in_flight[i].count));
     }
-    auto waiting = to.initWaiting(static_cast<unsigned>(it.waiting.size()));
-    for (unsigned i = 0; i < it.waiting.size(); ++i) {
-        waiting[i].setService(it.waiting[i].service);
-        waiting[i].setOnTime(clamped<std::uint16_t>(it.waiting[i].on_time));
-        waiting[i].setLate(clamped<std::uint16_t>(it.waiting[i].late));
-        waiting[i].setPerSecond(clamped<std::uint16_t>(it.waiting[i].per_second));
-    }
+    write(to.initWaiting(static_cast<unsigned>(it.waiting.size())), it.waiting);
     if (it.self) {
         write(to.initSelf(), *it.self);
     }
