Close a connection only behind the last of its pipelined requests

After SIGTERM the first response said 'Connection: close' and ended the connection, also while a lookup behind it was already at an upstream; that one was dropped. Change: the response to the last request in the pipeline closes; from its head on no further request is read. Before: the new test of gateway_path_test ends without the second response.

--- a/modules/berylcrank_gateway/server/exchange.cpp
+++ b/modules/berylcrank_gateway/server/exchange.cpp
@@ -39,7 +39,8 @@
         return;
     }
     begun_ = true;
-    close_after_ = !head.keep_alive || connection->closing();
+    // Requests behind this one may be at work already; the response to the last of them closes.
+    close_after_ = !head.keep_alive || (connection->closing() && connection->is_last(*this));
     bodyless_ = head.method == "HEAD" || status == 204 || status == 304;
     std::string text = absl::StrCat("HTTP/1.1 ", status, " ", std::string(reason), "\r\n");
     for (const auto& [name, value] : headers) {
@@ -53,6 +54,9 @@
     } else {
         close_after_ = true; // HTTP/1.0: the body ends with the connection
     }
+    if (close_after_) {
+        connection->take_no_more();
+    }
     text += close_after_ ? "Connection: close\r\n\r\n" : "\r\n";
     push(text);
 }
--- a/modules/berylcrank_gateway/server/server_connection.h
+++ b/modules/berylcrank_gateway/server/server_connection.h
@@ -54,8 +54,14 @@
     [[nodiscard]] bool is_first(const exchange& it) const {
         return !pipeline_.empty() && pipeline_.front().get() == &it;
     }
+    [[nodiscard]] bool is_last(const exchange& it) const {
+        return !pipeline_.empty() && pipeline_.back().get() == &it;
+    }
     [[nodiscard]] std::size_t active() const { return pipeline_.size(); }
 
+    /** Requests that arrive from now on are not passed on: a response says that the connection closes. */
+    void take_no_more() { no_more_requests_ = true; }
+
 private:
     void wait_for_bytes();
     void read_bytes();
--- a/tests/process/gateway_path_test.cpp
+++ b/tests/process/gateway_path_test.cpp
@@ -107,6 +107,28 @@
     CHECK(subject.runs("s-1") == 1);
 }
 
+// Guards against a lookup that was passed on and is cut off because the response before it closes the
+// connection.
+TEST_CASE_FIXTURE(gateway_path_fixture, "gateway, stopped while pipelined lookups run, answers all of them") {
+    for (const auto* it : subject.workers_of("lookups")) {
+        subject.behave(*it, "work=500");
+    }
+    const auto& node = subject.nodes().front();
+    auto connection = raw_connection::to(node.front);
+    REQUIRE(connection.send(pipelined("/l/a", "q-1") + pipelined("/l/b", "q-2")));
+    wait_until("both lookups run", [&] { return subject.runs("q-1") + subject.runs("q-2") == 2; });
+    node.process->send(SIGTERM);
+    const auto first = connection.read_message();
+    CHECK(first.starts_with("HTTP/1.1 200"));
+    CHECK(header_in(first, "Request-Id") == "q-1");
+    const auto second = connection.read_message();
+    CHECK(second.starts_with("HTTP/1.1 200"));
+    CHECK(header_in(second, "Request-Id") == "q-2");
+    CHECK(header_in(second, "Connection") == "close");
+    CHECK(connection.wait_closed());
+    CHECK(node.process->wait_exit(6000) == 0);
+}
+
 // Guards against a request that is passed on although its connection was already shut down for a planned
 // stop.
 TEST_CASE_FIXTURE(gateway_path_fixture,
