Give an upstream that needs a permit some requests while others have room

Under a light load that is never, so an upstream whose verified connections were gone stayed without work, and a cold one without a chance to become warm. Change: an upstream that needs a permit takes part in the choice each 500 ms, if limits and outliers allow. Test: service_router_test, asked 0 of 1000 requests before, 10 after.

--- a/modules/berylcrank_routing/service/routing_message.h
+++ b/modules/berylcrank_routing/service/routing_message.h
@@ -87,8 +87,8 @@
     };
     state is{state::open};
     std::uint32_t permits{0};
-    bool may_ask{
-        true}; ///< `by_permit` without stock: may be given with `needs_permit` if no open one has room.
+    bool may_ask{true}; ///< `by_permit` without stock: may be given with `needs_permit`, now and then, or if
+                        ///< no open one has room.
 };
 
 /** Counters and gauges of one service at one node. Counters only grow. @see service_router::stats */
--- a/modules/berylcrank_routing/service/service_router_choice.cpp
+++ b/modules/berylcrank_routing/service/service_router_choice.cpp
@@ -4,6 +4,15 @@
 
 namespace berylcrank {
 
+namespace {
+
+// Between two requests that ask for a permit of an upstream although others have room. Such a request may
+// wait a permit's round trip and more, so few do; without them the upstream would never become warm under a
+// light load.
+constexpr millis ask_pause{500};
+
+} // namespace
+
 service_router::tier service_router::tier_of(const upstream_state& it, const route_request& request,
                                              instant now) const {
     if (!it.is_in_use || it.gate.is == upstream_gate::state::closed ||
@@ -15,7 +24,12 @@
     }
     const bool lacks_permit = it.gate.is == upstream_gate::state::by_permit && it.gate.permits == 0;
     if (lacks_permit) {
-        return it.gate.may_ask ? tier::by_permit : tier::absent;
+        if (!it.gate.may_ask) {
+            return tier::absent;
+        }
+        const bool is_due = now - it.asked_at >= ask_pause && it.limit.allows(it.stats.in_flight()) &&
+                            !it.outlier.is_ejected(now);
+        return is_due ? tier::open : tier::by_permit;
     }
     if (options_.has_limits && !it.limit.allows(it.stats.in_flight())) {
         return tier::busy;
@@ -91,6 +105,7 @@
         given.used_permit = to.gate.permits > 0;
         given.needs_permit = !given.used_permit;
         to.gate.permits -= given.used_permit ? 1 : 0;
+        to.asked_at = given.needs_permit ? now : to.asked_at;
     }
     to.is_exclusive = it.is_alone;
     to.stats.on_dispatch(base_, now);
--- a/modules/berylcrank_routing/service/upstream_state.h
+++ b/modules/berylcrank_routing/service/upstream_state.h
@@ -17,6 +17,7 @@
         false}; ///< No longer in the configuration or the subset; forgotten after its last release.
     bool is_exclusive{false}; ///< Held by a request that must run alone.
     upstream_gate gate;
+    instant asked_at; ///< When it was last given to a request that has to ask for a permit.
     upstream_stats stats;
     adaptive_limit limit;
     outlier_detector outlier;
--- a/tests/routing/service_router_test.cpp
+++ b/tests/routing/service_router_test.cpp
@@ -146,6 +146,22 @@
     CHECK(refusals[0].reason == refusal_reason::no_upstream);
 }
 
+// Guards against an upstream that stays without work, and so never becomes warm, as long as others have room.
+TEST_CASE_FIXTURE(router_fixture, "service_router, one upstream by permit under a light load, is asked for") {
+    update(3, 10);
+    subject->set_gate("u1", {.is = upstream_gate::state::by_permit}, now);
+    int asked = 0;
+    for (int n = 0; n < 1000; ++n) { // a request each 5 ms, one at a time
+        now = now + millis{5};
+        acquire();
+        asked += grants.front().needs_permit ? 1 : 0;
+        release(grants.front().needs_permit ? attempt_outcome::unused : attempt_outcome::good);
+    }
+    // Often enough to become warm; rarely enough that few requests wait for a permit.
+    CHECK(asked >= 5);
+    CHECK(asked <= 20);
+}
+
 // Guards against a suspect whose crash takes other requests of this node with it.
 TEST_CASE_FIXTURE(router_fixture,
                   "service_router, request that must run alone, shares its upstream with none") {
