Let a caller that is refused while it sends read its refusal

Cause: libmicrohttpd queues the 413 at the head, sends it and closes the socket. What the caller sent meanwhile stays unread, so the close resets the connection, and a caller that still writes sees the reset, not the response (oversized_order_test: status 0 instead of 413). Ruled out: refusing after the body (http_server_test wants the refusal before it, and a body of any length would have to be read), a larger receive buffer (it only moves the size at which it happens).

--- a/modules/berylcrank_http/berylcrank_http.h
+++ b/modules/berylcrank_http/berylcrank_http.h
@@ -6,7 +6,7 @@
 
     Areas: message (requests, answers, body buffer), loop (threads that both sides share), server, client.
 
-    Dependencies: berylcrank_core, libmicrohttpd, libcurl, Boost.LEAF, Abseil.
+    Dependencies: berylcrank_core, libmicrohttpd, libcurl, Boost.LEAF, Abseil, glog.
 */
 
 #include "modules/berylcrank_http/client/upstream_client.h"
--- a/modules/berylcrank_http/server/mhd_server.cpp
+++ b/modules/berylcrank_http/server/mhd_server.cpp
@@ -263,7 +263,7 @@
             server->too_slow_.fetch_add(1);
         }
     }
-    it->peer->end();
+    it->peer->end(it->is_refused);
     if (it->is_handled) {
         server->open_.fetch_sub(1);
     }
--- a/modules/berylcrank_http/server/peer_watch.cpp
+++ b/modules/berylcrank_http/server/peer_watch.cpp
@@ -29,9 +29,10 @@
     }
 }
 
-void peer_watch::peer::end() {
+void peer_watch::peer::end(bool was_refused) {
     std::shared_ptr<mhd_exchange> dropped; // Destroyed without the lock held.
     const lock_guard hold(mutex_);
+    lingers_ = was_refused;
     dropped = std::exchange(current_, nullptr);
     idle_since_ = std::chrono::steady_clock::now();
 }
@@ -49,7 +50,8 @@
 }
 
 peer_watch::peer_watch(const options& it)
-    : options_(it), epoll_(epoll_create1(EPOLL_CLOEXEC)), stop_event_(eventfd(0, EFD_CLOEXEC)) {
+    : options_(it), epoll_(epoll_create1(EPOLL_CLOEXEC)), stop_event_(eventfd(0, EFD_CLOEXEC)),
+      lingering_(epoll_) {
     epoll_event event{.events = EPOLLIN, .data = {.u64 = stop_id}};
     epoll_ctl(epoll_, EPOLL_CTL_ADD, stop_event_, &event);
     thread_ = std::thread([this] { run(); });
@@ -77,7 +79,11 @@
 void peer_watch::remove(std::uint64_t id) {
     const lock_guard hold(mutex_);
     if (const auto it = peers_.find(id); it != peers_.end()) {
-        epoll_ctl(epoll_, EPOLL_CTL_DEL, it->second->socket_, nullptr);
+        auto& leaving = *it->second;
+        epoll_ctl(epoll_, EPOLL_CTL_DEL, leaving.socket_, nullptr);
+        if (const lock_guard hold_peer(leaving.mutex_); leaving.lingers_) {
+            lingering_.add(leaving.socket_, id);
+        }
         peers_.erase(it);
     }
 }
@@ -105,12 +111,16 @@
             if (events[i].data.u64 == stop_id) {
                 return;
             }
-            if (const auto it = find(events[i].data.u64)) {
+            const auto id = events[i].data.u64;
+            if (const auto it = find(id)) {
                 it->hang_up();
+            } else {
+                lingering_.discard(id);
             }
         }
         if (const auto now = std::chrono::steady_clock::now(); now >= next_check) {
             close_slow();
+            lingering_.close_late();
             next_check = now + std::chrono::milliseconds(step);
         }
     }
--- a/modules/berylcrank_http/server/peer_watch.h
+++ b/modules/berylcrank_http/server/peer_watch.h
@@ -2,6 +2,7 @@
 
 #include "modules/berylcrank_core/sync/mutex.h"
 #include "modules/berylcrank_core/time/millis.h"
+#include "modules/berylcrank_http/server/lingering_sockets.h"
 #include "modules/berylcrank_http/server/mhd_exchange.h"
 
 #include "absl/container/flat_hash_map.h"
@@ -17,7 +18,8 @@
     libmicrohttpd does not look at a suspended connection, and its timeout starts again with every byte. One
     thread waits for the hang-up of all connections by edge-triggered epoll, so a request costs no system call
     here.
-    @see mhd_server
+    It also reads on from callers that were refused before they had sent all of a request.
+    @see mhd_server, lingering_sockets
 */
 class peer_watch {
 public:
@@ -33,8 +35,8 @@
         /** A request of this connection begins; ends it at once if the caller has left. */
         void begin(const std::shared_ptr<mhd_exchange>& it);
 
-        /** The request has ended. */
-        void end();
+        /** The request has ended. After a refusal the caller may still send, so that closing has to wait. */
+        void end(bool was_refused);
 
         [[nodiscard]] std::uint64_t id() const { return id_; }
 
@@ -48,6 +50,7 @@
         mutex mutex_;
         std::shared_ptr<mhd_exchange> current_ ABSL_GUARDED_BY(mutex_);
         bool hung_up_ ABSL_GUARDED_BY(mutex_){false};
+        bool lingers_ ABSL_GUARDED_BY(mutex_){false};
         std::chrono::steady_clock::time_point idle_since_ ABSL_GUARDED_BY(mutex_){
             std::chrono::steady_clock::now()};
     };
@@ -60,7 +63,7 @@
     /** Watches a connection until `remove`. */
     std::shared_ptr<peer> add(int socket);
 
-    /** Must be called before the socket is closed. */
+    /** Must be called before the socket is closed. A duplicate of it lingers after a refusal. */
     void remove(std::uint64_t id);
 
     /** Ends the requests of all connections. */
@@ -77,6 +80,7 @@
     options options_;
     int epoll_;
     int stop_event_;
+    lingering_sockets lingering_;
     std::atomic<std::uint64_t> too_slow_{0};
     mutex mutex_;
     std::uint64_t last_id_ ABSL_GUARDED_BY(mutex_){0};
--- a/tests/http/http_server_test.cpp
+++ b/tests/http/http_server_test.cpp
@@ -67,6 +67,18 @@
     CHECK(handled == 0);
 }
 
+// Guards against a reset that takes the refusal away from a caller that is still sending its body.
+TEST_CASE_FIXTURE(http_server_fixture,
+                  "http_server, body too large by its length, caller that sends all of it reads 413") {
+    const std::string body(8U << 20U, 'x'); // more than the buffers of both ends hold
+    for (int n = 0; n < 5; ++n) {
+        auto it = connect();
+        CHECK(it.send(post + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n"));
+        CHECK(it.send(body));
+        CHECK(it.read_all().starts_with("HTTP/1.1 413"));
+    }
+}
+
 // These are refused by libmicrohttpd itself, so only status and count can be checked.
 TEST_CASE_FIXTURE(http_server_fixture, "http_server, bytes that are no request, refused and counted") {
     const std::string huge(200000, 'x');
