Name a node to callers only once it has been ready

Cause: a node that starts again tells its peers of its new run at once, and they named it in address answers from then on, while it had not read the configuration yet and refused everything ("cut off from the log and most nodes", 1.2 s under ThreadSanitizer, milliseconds otherwise). Callers that followed their answers were refused: planned_stop_test failed in 8 of 8 runs under ThreadSanitizer, four at once (281 orders, 277 ran). Ruled out: the stop itself (all refusals fell between "configuration is isolated" and "fresh" of the nodes that had just started), the sanitizer's own reports (none in these runs), the permission that the control thread extends (it was never late). Change: a run is told as starting until it is ready for the first time; address answers leave such nodes out before any other. News that a run is ready is never undone by older news.

--- a/modules/berylcrank_membership/address/address_book.cpp
+++ b/modules/berylcrank_membership/address/address_book.cpp
@@ -19,10 +19,11 @@
         int sum = it.state == peer_state::silent && !is_fail_open ? 1 : 0;
         sum += domain_in_use(it.info.failure_domain) ? 0 : 2;
         sum += it.state == peer_state::leaving ? 4 : 0;
+        sum += it.info.starting ? 8 : 0;
         return sum;
     };
     std::vector<entry> best;
-    int least = 8;
+    int least = 16;
     for (const auto& it : members) {
         if (it.info.http_address.empty()) {
             continue;
--- a/modules/berylcrank_membership/address/address_book.h
+++ b/modules/berylcrank_membership/address/address_book.h
@@ -21,9 +21,9 @@
 
 /** Chooses the entry addresses that callers get. Safe from any thread.
 
-    Leaving nodes and nodes of taken-out failure domains are left out; silent ones too, unless that would
-   leave out more than a third of the members. If nothing is left, rules are dropped in the order silent,
-   taken-out failure domain, leaving.
+    Nodes that have not been ready yet, leaving nodes and nodes of taken-out failure domains are left out;
+   silent ones too, unless that would leave out more than a third of the members. If nothing is left, rules
+   are dropped in the order silent, taken-out failure domain, leaving, starting.
     @see peer_view, leave_rule
 */
 class address_book {
--- a/modules/berylcrank_membership/message/gossip_message.h
+++ b/modules/berylcrank_membership/message/gossip_message.h
@@ -18,6 +18,7 @@
     std::string http_address;
     std::string rpc_address;
     bool leaving{false};
+    bool starting{false};            ///< The run has not been ready to serve yet.
     std::optional<millis> heard_ago; ///< Age of the last news at the sender; none: never heard.
 
     bool operator==(const peer_info&) const = default;
--- a/modules/berylcrank_membership/view/peer_record.h
+++ b/modules/berylcrank_membership/view/peer_record.h
@@ -33,7 +33,8 @@
     peer_info info;
     instant first_seen;
     std::optional<instant> heard;
-    instant changed; ///< Last change of run, addresses or leaving; such news is passed on first and in full.
+    instant changed; ///< Last change of run, addresses, starting or leaving; such news is passed on first and
+                     ///< in full.
     bool is_listed{false};
     bool is_delisted{false}; ///< Was on the VM list and is no longer.
     bool vm_leaving{false};
--- a/modules/berylcrank_membership/view/peer_view.cpp
+++ b/modules/berylcrank_membership/view/peer_view.cpp
@@ -14,7 +14,8 @@
 
 } // namespace
 
-peer_view::peer_view(options it) : options_(std::move(it)), is_leaving_(options_.self.leaving) {}
+peer_view::peer_view(options it)
+    : options_(std::move(it)), is_leaving_(options_.self.leaving), is_starting_(options_.self.starting) {}
 
 void peer_view::apply_vm_list(std::span<const vm_seed> list, instant now) {
     const lock_guard lock(mutex_);
@@ -54,6 +55,11 @@
     }
 }
 
+void peer_view::become_ready() {
+    const lock_guard lock(mutex_);
+    is_starting_ = false;
+}
+
 void peer_view::leave() {
     const lock_guard lock(mutex_);
     is_leaving_ = true;
@@ -179,6 +185,7 @@
     }
     peer_member self{options_.self, is_leaving_ ? peer_state::leaving : peer_state::alive, true};
     self.info.leaving = is_leaving_;
+    self.info.starting = is_starting_;
     const auto at = std::ranges::lower_bound(
         all, self.info.vm, {}, [](const peer_member& it) -> const std::string& { return it.info.vm; });
     all.insert(at, std::move(self));
--- a/modules/berylcrank_membership/view/peer_view.h
+++ b/modules/berylcrank_membership/view/peer_view.h
@@ -37,6 +37,9 @@
     /** Takes a whole VM list. A vm that was listed before and no longer is counts as gone once silent. */
     void apply_vm_list(std::span<const vm_seed> list, instant now);
 
+    /** Marks this node as able to serve in all later messages; before, it counts as starting. */
+    void become_ready();
+
     /** Marks this node as leaving in all later messages. */
     void leave();
 
@@ -125,6 +128,7 @@
     const options options_;
     mutable mutex mutex_;
     bool is_leaving_ ABSL_GUARDED_BY(mutex_){false};
+    bool is_starting_ ABSL_GUARDED_BY(mutex_){false};
     absl::btree_map<std::string, peer_record> peers_ ABSL_GUARDED_BY(mutex_); // By vm.
     absl::flat_hash_map<incarnation, std::string> vm_of_ ABSL_GUARDED_BY(mutex_);
     absl::flat_hash_map<incarnation, ended_run> ended_ ABSL_GUARDED_BY(mutex_);
--- a/modules/berylcrank_membership/view/peer_view_news.cpp
+++ b/modules/berylcrank_membership/view/peer_view_news.cpp
@@ -89,6 +89,7 @@
     }
     if (it.vm.empty()) {
         peer.info.leaving = peer.info.leaving || it.leaving;
+        peer.info.starting = peer.info.starting && it.starting;
     } else {
         update_info(peer, it, now);
     }
@@ -113,12 +114,15 @@
 }
 
 void peer_view::update_info(peer_record& peer, const peer_info& it, instant at) {
-    const bool is_leaving = peer.info.leaving || it.leaving; // A run that leaves does not come back.
-    if (!same_details(peer.info, it) || is_leaving != peer.info.leaving) {
+    const bool is_leaving = peer.info.leaving || it.leaving;    // A run that leaves does not come back.
+    const bool is_starting = peer.info.starting && it.starting; // A run that was ready does not start again.
+    if (!same_details(peer.info, it) || is_leaving != peer.info.leaving ||
+        is_starting != peer.info.starting) {
         peer.changed = at;
     }
     peer.info = it;
     peer.info.leaving = is_leaving;
+    peer.info.starting = is_starting;
     peer.info.heard_ago.reset();
 }
 
@@ -142,6 +146,7 @@
     gossip_message out;
     out.sender = options_.self;
     out.sender.leaving = is_leaving_;
+    out.sender.starting = is_starting_;
     out.sender.heard_ago = millis{0};
     std::vector<const peer_record*> urgent;
     std::vector<const peer_record*> usual;
@@ -186,7 +191,7 @@
         info.heard_ago = age;
         return info;
     }
-    return {.run = it.info.run, .leaving = it.info.leaving, .heard_ago = age};
+    return {.run = it.info.run, .leaving = it.info.leaving, .starting = it.info.starting, .heard_ago = age};
 }
 
 } // namespace berylcrank
--- a/modules/berylcrank_node/control/node.cpp
+++ b/modules/berylcrank_node/control/node.cpp
@@ -18,7 +18,8 @@
             .run = self,
             .failure_domain = it.getFailureDomain().cStr(),
             .http_address = http_address,
-            .rpc_address = rpc_address};
+            .rpc_address = rpc_address,
+            .starting = true};
 }
 
 cold_times cold_times_of(schema::Settings::Reader it) {
@@ -126,7 +127,8 @@
                 .services = services_,
                 .orders = orders_,
                 .work = work_,
-                .in_flight = [this] { return server_->open_exchanges() + orders_.running(); }},
+                .in_flight = [this] { return server_->open_exchanges() + orders_.running(); },
+                .is_ready = [this] { return not_ready_because().empty(); }},
                control_options(it, self_)),
       collector_({.time = clock_,
                   .endpoint = *endpoint_,
--- a/modules/berylcrank_node/control/node_control.cpp
+++ b/modules/berylcrank_node/control/node_control.cpp
@@ -51,6 +51,12 @@
     if (leave_asked_.load() && !leave_rule_.is_leaving()) {
         start_leaving(now);
     }
+    if (!was_ready_ && parts_.is_ready()) {
+        was_ready_ = true;
+        parts_.peers.become_ready();
+        update_addresses(now);
+        next_gossip_ = now;
+    }
     if (now >= next_gossip_) {
         gossip(now);
     }
--- a/modules/berylcrank_node/control/node_control.h
+++ b/modules/berylcrank_node/control/node_control.h
@@ -43,6 +43,7 @@
         order_flow& orders;
         work_gate& work;
         std::function<std::size_t()> in_flight; ///< Requests that keep a leaving node from exiting.
+        std::function<bool()> is_ready;         ///< Whether the node can serve.
     };
 
     struct options {
@@ -99,6 +100,7 @@
     seeded_random random_;
     group_assignment assignment_;
     leave_rule leave_rule_;
+    bool was_ready_{false}; // Until then other nodes do not name this one.
     instant next_gossip_;
     instant next_slow_;
     instant next_hand_over_;
--- a/modules/berylcrank_rpc/peer/peer_codec.cpp
+++ b/modules/berylcrank_rpc/peer/peer_codec.cpp
@@ -109,6 +109,7 @@
     out.setHttpAddress(as_text(it.http_address));
     out.setRpcAddress(as_text(it.rpc_address));
     out.setLeaving(it.leaving);
+    out.setStarting(it.starting);
     out.setHeardAgoMs(encode_age(it.heard_ago));
 }
 
@@ -119,6 +120,7 @@
             .http_address = decode_text(it.getHttpAddress()),
             .rpc_address = decode_text(it.getRpcAddress()),
             .leaving = it.getLeaving(),
+            .starting = it.getStarting(),
             .heard_ago = decode_age(it.getHeardAgoMs())};
 }
 
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -13,6 +13,8 @@
   leaving @5 :Bool;
   heardAgoMs @6 :Int64;
   # Age of the last news of this peer at the sender; -1: never.
+  starting @7 :Bool;
+  # The run has not been ready to serve yet.
 }
 
 struct WarmNews {
--- a/tests/membership/address_book_test.cpp
+++ b/tests/membership/address_book_test.cpp
@@ -50,6 +50,22 @@
     CHECK(subject.answer("").keep == millis{5000});
 }
 
+// Guards against callers that are sent to a node which has no configuration yet and refuses all.
+TEST_CASE_FIXTURE(book_fixture, "address_book, some starting, gives the others; all starting, gives all") {
+    members[0].info.starting = true;
+    members[1].state = peer_state::leaving;
+    update();
+    CHECK(shares("", 90).size() == 7);
+    for (std::size_t i = 2; i < members.size(); ++i) {
+        members[i].info.starting = true;
+    }
+    update();
+    CHECK(subject.answer("").addresses == std::vector<std::string>{"b"}); // it still serves while it leaves
+    members[1].info.starting = true;
+    update();
+    CHECK_FALSE(subject.answer("").addresses.empty());
+}
+
 // Guards against callers that are sent to nodes which are about to exit.
 TEST_CASE_FIXTURE(book_fixture, "address_book, all leaving but one, gives that one; all leaving, gives all") {
     for (std::size_t i = 1; i < members.size(); ++i) {
--- a/tests/membership/peer_view_test.cpp
+++ b/tests/membership/peer_view_test.cpp
@@ -201,6 +201,39 @@
     CHECK(seen.size() == 4);
 }
 
+// Guards against a node that is named before it serves, and against one that stays unnamed by old news.
+TEST_CASE_FIXTURE(view_fixture, "peer_view, run that was starting, is ready by any news and stays so") {
+    const auto is_starting = [&](int vm) {
+        const auto all = subject.members(now);
+        return std::ranges::any_of(
+            all, [&](const peer_member& it) { return it.info.vm == info_of(vm, 1).vm && it.info.starting; });
+    };
+    auto starting = info_of(1, 21);
+    starting.starting = true;
+    now = now + millis{1};
+    subject.on_message(from(starting), now);
+    CHECK(is_starting(1));
+    auto other = from(info_of(2, 12));
+    other.peers = {told({.run = incarnation{21}}, millis{1})}; // short news by another node
+    now = now + millis{10};
+    subject.on_message(other, now);
+    CHECK_FALSE(is_starting(1));
+    subject.on_message(from(starting), now); // a message that was under way for longer
+    CHECK_FALSE(is_starting(1));
+}
+
+TEST_CASE("peer_view, own start, is told until the node is ready") {
+    auto self = info_of(0, 1);
+    self.starting = true;
+    peer_view subject{{.self = self}};
+    seeded_random random{1};
+    CHECK(subject.make_message(random, start).sender.starting);
+    CHECK(subject.members(start)[0].info.starting);
+    subject.become_ready();
+    CHECK_FALSE(subject.make_message(random, start).sender.starting);
+    CHECK_FALSE(subject.members(start)[0].info.starting);
+}
+
 TEST_CASE_FIXTURE(view_fixture, "peer_view, leaving run, does not come back by older news") {
     auto leaving = info_of(1, 11);
     leaving.leaving = true;
