Count the requests of other cells as in flight

At the ends of attempts the upstreams reported 5 requests running, where the choice had believed 3 of 6 slots filled: an upstream that several cells use is filled by each as if it were alone, since a report counts for 120 ms only, and an upstream of another cell without a report looks empty. Change: in a deployment of several cells, what a report counts beyond the own cell's requests counts on and fades within 400 ms; upstreams of other cells need a report of the last 500 ms, and are probed as soon as one looks for room there. Tests: choice_test, two new cases.

--- a/modules/berylcrank_balance/choice/upstream_choice.cpp
+++ b/modules/berylcrank_balance/choice/upstream_choice.cpp
@@ -54,7 +54,9 @@
     const bool cold = it.cold_until > now;
     // While requests wait, slots past the knee would only slow all of them down.
     const int room = request.shares != nullptr ? usable_slots(slots, options) : slots;
-    if (load.down_until > now || result.in_flight >= room ||
+    const bool known = request.longest_report_age == any_report_age ||
+                       (load.reported && now - load.report.at <= request.longest_report_age);
+    if (!known || load.down_until > now || result.in_flight >= room ||
         !may_take(request, it, load, room - result.in_flight, lend_chance, random, now) ||
         (cold && !request.cold_allowed(it))) {
         return result;
--- a/modules/berylcrank_balance/choice/upstream_choice.h
+++ b/modules/berylcrank_balance/choice/upstream_choice.h
@@ -42,6 +42,9 @@
 /** Whether a cold upstream may receive a request from this node now. */
 using cold_check = std::function<bool(const upstream&)>;
 
+/** Also upstreams that never reported their load. */
+inline constexpr millis any_report_age{INT32_MAX};
+
 /** What is to be sent, and to which upstreams it may go. */
 struct choice_request {
     std::span<const upstream_ptr> candidates; ///< Upstreams of the service that this node uses.
@@ -51,6 +54,8 @@
     /** Slots of each upstream that this node may fill; set while requests wait for the service. */
     const slot_shares::share_map* shares{nullptr};
     double lend_chance{0}; ///< With which a free slot outside the share is taken if most are free.
+    /** Upstreams whose last report is older are passed over. */
+    millis longest_report_age{any_report_age};
     /** The request goes nowhere where it would be late: slowness times `duration` must be within
        `time_left`. */
     bool in_time_only{false};
--- a/modules/berylcrank_balance/load/load_book.cpp
+++ b/modules/berylcrank_balance/load/load_book.cpp
@@ -28,6 +28,8 @@
     }
     held.report = it;
     held.reported = true;
+    held.foreign =
+        has_foreign_ ? std::max(0, it.running + it.waiting - held.own - std::max(0, held.others)) : 0;
     held.report_unsent = held.report_unsent || own_news;
     usual_slowness_ += usual_weight * (it.slowness - usual_slowness_);
 }
@@ -80,10 +82,13 @@
 
 int load_book::in_flight(const entry& it, instant now) const {
     const int counted = it.own + std::max(0, it.others);
-    if (!it.reported || now - it.report.at > report_lifetime) {
+    if (!it.reported) {
         return counted;
     }
-    return std::max(counted, it.report.running + it.report.waiting);
+    const auto age = now - it.report.at;
+    const int told = age > report_lifetime ? 0 : it.report.running + it.report.waiting;
+    const double foreign = it.foreign * std::exp(-age.value() / foreign_memory.value());
+    return std::max(told, counted + static_cast<int>(std::lround(foreign)));
 }
 
 double load_book::slowness(const entry& it, double usual, instant now) {
--- a/modules/berylcrank_balance/load/load_book.h
+++ b/modules/berylcrank_balance/load/load_book.h
@@ -23,6 +23,9 @@
     static constexpr millis slowness_memory{250};
     /** Age from which a report no longer says how many requests run. */
     static constexpr millis report_lifetime{120};
+    /** Time in which requests of nodes that tell this one nothing lose 63 % of their weight. Such requests
+       take about as long at the upstreams that large deployments have. */
+    static constexpr millis foreign_memory{400};
     /** Time within which results of requests lose half of their weight. */
     static constexpr millis outcome_half_life{2000};
     /** First and longest pause after an upstream could not be reached. */
@@ -35,6 +38,7 @@
         bool reported{false};
         int own{0};
         int others{0};
+        int foreign{0};         // requests of the last report that no node that tells this one had sent
         outcome_count outcomes; // decayed
         instant outcomes_at;
         instant down_until; // not reachable before this moment
@@ -64,6 +68,9 @@
     /** The upstream answered, if only to a probe. */
     void reachable(std::uint32_t upstream);
 
+    /** Whether upstreams also serve nodes that do not tell this one what they have in flight. */
+    void has_foreign(bool it) { has_foreign_ = it; }
+
     /** Replaces the requests in flight that the node `peer` told of. */
     void peer_in_flight(std::uint64_t peer, std::span<const in_flight_count> counts);
 
@@ -85,6 +92,7 @@
     absl::flat_hash_map<std::uint32_t, entry> entries_;
     absl::flat_hash_map<std::uint64_t, std::vector<in_flight_count>> peers_;
     double usual_slowness_{1.5};
+    bool has_foreign_{false};
 };
 
 } // namespace berylcrank
--- a/modules/berylcrank_gateway/flow/request_flow.cpp
+++ b/modules/berylcrank_gateway/flow/request_flow.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+// Upstreams of other cells are used only with a report that is not older: two probes of them.
+constexpr millis spill_report_age{500};
+
 // How long the caller says that it waits; nothing if it does not say.
 std::optional<millis> said_limit(const exchange& caller, const node_state& node) {
     const auto* text = find_header(caller.head.headers, node.wire.headers().time_left);
@@ -106,7 +109,9 @@
         return choose_upstream(node_.upstreams, node_.loads, request, node_.options.choice, node_.random,
                                now);
     };
-    if (!start_allows(members, now)) {
+    const bool stands_back =
+        sends_ == 0 && node_.shares.others_wait_on_time(service_number(service_), now) && late(now);
+    if (stands_back || !start_allows(members, now)) {
         return {.any_usable = true};
     }
     auto best = choose(members);
@@ -115,12 +120,10 @@
         (best.it && best.cost < node_.options.choice.spill_cost * node_.loads.usual_slowness())) {
         return best;
     }
+    node_.spilled[service_] = now; // they are probed from now on
+    request.longest_report_age = spill_report_age;
     auto other = choose(spill);
-    if (!other.it || (best.it && best.cost <= other.cost)) {
-        return best;
-    }
-    node_.spilled[service_] = now;
-    return other;
+    return !other.it || (best.it && best.cost <= other.cost) ? best : other;
 }
 
 bool request_flow::start_allows(const std::vector<upstream_ptr>& members, instant now) const {
--- a/modules/berylcrank_gateway/node/gateway_node_messages.cpp
+++ b/modules/berylcrank_gateway/node/gateway_node_messages.cpp
@@ -66,6 +66,7 @@
             greet_seeds();
         }
     }
+    node_.loads.has_foreign(node_.peers.many_cells());
     if (node_.peers.many_cells() && now >= next_roster_) {
         next_roster_ = now + node_.options.roster_interval;
         send_roster(now);
--- a/tests/balance/choice_test.cpp
+++ b/tests/balance/choice_test.cpp
@@ -87,6 +87,36 @@
     CHECK(pick(at(1000)).it->entry.id == "a");
 }
 
+// Guards against upstreams that several groups of nodes fill, each as if it were alone.
+TEST_CASE_FIXTURE(choice_fixture,
+                  "load_book, upstream serves nodes that tell nothing, counts their requests too") {
+    add("a");
+    loads.has_foreign(true);
+    loads.sent(number("a"));
+    loads.report(number("a"), {.running = 4, .slots = 4, .slowness = 1, .at = at(1000)}, false);
+    loads.sent(number("a"));
+    CHECK(loads.in_flight(loads.at(number("a")), at(1050)) == 5);
+    // The report is too old to tell what runs, but the requests of the others have not ended all at once.
+    CHECK(loads.in_flight(loads.at(number("a")), at(1300)) >= 3);
+    CHECK(loads.in_flight(loads.at(number("a")), at(5000)) == 2);
+    loads.has_foreign(false);
+    loads.report(number("a"), {.running = 4, .slots = 4, .slowness = 1, .at = at(6000)}, false);
+    CHECK(loads.in_flight(loads.at(number("a")), at(6300)) == 2);
+}
+
+// Guards against an upstream of other nodes that looks free because nothing was heard of it.
+TEST_CASE_FIXTURE(choice_fixture, "choose_upstream, only recent reports wanted, passes over the others") {
+    add("a");
+    add("b");
+    report("a", 1, at(1000));
+    report("b", 4, at(1900));
+    const choice_request request{.candidates = directory.of_service("s"),
+                                 .cold_allowed = [](const upstream&) { return true; },
+                                 .longest_report_age = millis{500}};
+    CHECK(choose_upstream(directory, loads, request, {}, random, at(2000)).it->entry.id == "b");
+    CHECK(choose_upstream(directory, loads, request, {}, random, at(3000)).it == nullptr);
+}
+
 // Guards against overload that makes upstreams end fewer requests.
 TEST_CASE_FIXTURE(choice_fixture, "choose_upstream, all are at the knee, finds no room") {
     add("a");
