Let late requests stand back for those that are on time elsewhere

Cause: in the same 16 s four of ten requests sent to the service were late already. Callers that had been refused came back late to a node with no queue of its own, found a free slot and took it, while requests on time waited at other nodes until they were refused, to come back late. Ruled out: too few slots (the upstreams ended what arrived), order within a node (on time goes first there). Change: nodes know from messages whether others have requests on time waiting; while they do, a late request that was not sent yet takes no slot.

--- a/modules/berylcrank_balance/admission/slot_shares.cpp
+++ b/modules/berylcrank_balance/admission/slot_shares.cpp
@@ -22,7 +22,8 @@
         nodes.push_back({.node = node,
                          .failure_domain = failure_domain,
                          .per_second = it.per_second,
-                         .until = now + memory});
+                         .until = now + memory,
+                         .on_time_until = it.on_time > 0 ? now + on_time_memory : instant{}});
     }
 }
 
@@ -48,6 +49,12 @@
                                                [now](const auto& held) { return held.until > now; });
 }
 
+bool slot_shares::others_wait_on_time(std::uint32_t service, instant now) const {
+    const auto it = demands_.find(service);
+    return it != demands_.end() && std::any_of(it->second.begin(), it->second.end(),
+                                               [now](const auto& held) { return held.on_time_until > now; });
+}
+
 bool slot_shares::any_wait(instant now) const {
     return std::any_of(demands_.begin(), demands_.end(),
                        [&](const auto& it) { return others_wait(it.first, now); });
--- a/modules/berylcrank_balance/admission/slot_shares.h
+++ b/modules/berylcrank_balance/admission/slot_shares.h
@@ -41,6 +41,10 @@
        empty and fill again all the time. */
     static constexpr millis memory{300};
 
+    /** The same for waiting requests that are on time, for which late ones stand back: a message interval of
+       a node with requests waiting, and its way. Longer, and slots stay empty between two messages. */
+    static constexpr millis on_time_memory{40};
+
     /** Looks at a free slot by one node, one each tick, until the others have heard that it was taken. */
     static constexpr double looks_unheard = 3;
 
@@ -64,7 +68,9 @@
 
     /** Whether requests have lately been waiting for the service at another node. */
     [[nodiscard]] bool others_wait(std::uint32_t service, instant now) const;
-    /** The same for any service. */
+    /** Whether requests that are on time have lately been waiting for the service at another node. */
+    [[nodiscard]] bool others_wait_on_time(std::uint32_t service, instant now) const;
+    /** Whether requests have lately been waiting for any service at another node. */
     [[nodiscard]] bool any_wait(instant now) const;
 
     /** This node's share while requests wait. `slots` tells how many of an upstream may be filled; `arriving`
@@ -93,6 +99,7 @@
         std::string failure_domain;
         int per_second{0};
         instant until;
+        instant on_time_until;
     };
     struct upstream_slots {
         std::uint32_t upstream{0};
--- a/tests/balance/shares_test.cpp
+++ b/tests/balance/shares_test.cpp
@@ -108,6 +108,20 @@
     CHECK(total(0, at(920)) == 6);
 }
 
+// Guards against late requests that stand back for ever, or for requests that are late themselves.
+TEST_CASE_FIXTURE(shares_fixture,
+                  "slot_shares, another node has requests on time waiting, tells so for a while") {
+    add_node("north", 10);
+    add_node("north", 10);
+    tell(at(100), 1);
+    CHECK(nodes[0]->others_wait_on_time(service, at(110)));
+    CHECK_FALSE(nodes[1]->others_wait_on_time(service, at(110)));
+    CHECK_FALSE(nodes[0]->others_wait_on_time(service, at(100) + slot_shares::on_time_memory));
+    nodes[0]->heard(2, "north", std::array{waiting_count{.service = service, .late = 3}}, at(200));
+    CHECK(nodes[0]->others_wait(service, at(210)));
+    CHECK_FALSE(nodes[0]->others_wait_on_time(service, at(210)));
+}
+
 namespace {
 
 constexpr int node_count = 12;
@@ -117,6 +131,8 @@
 constexpr std::int64_t step_ms = 5;
 constexpr std::int64_t message_ms = 25;
 constexpr millis target{200};
+constexpr std::int64_t retry_ms = 150;
+constexpr std::int64_t late_wait_ms = 300;
 
 struct played_request {
     std::int64_t arrived{0};
@@ -128,7 +144,7 @@
     load_book loads;
     wait_queue waiting;
     std::unique_ptr<slot_shares> shares;
-    std::map<std::uint64_t, std::int64_t> arrivals; // of waiting requests, by number
+    std::map<std::uint64_t, std::int64_t> arrivals; // first ones of waiting requests, by number
     int served{0};
 };
 
@@ -137,8 +153,14 @@
 // it queues.
 class played_burst {
 public:
-    played_burst(bool with_shares, bool newest_first)
-        : with_shares_(with_shares), newest_first_(newest_first), random_(11), nodes_(node_count) {
+    struct options {
+        bool with_shares{true};
+        bool newest_first{true};
+        bool callers_return{false}; // once, after a refusal; then they are late
+        bool late_stand_back{false};
+    };
+
+    explicit played_burst(const options& it) : options_(it), random_(11), nodes_(node_count) {
         for (int i = 0; i < upstream_count; ++i) {
             directory_.apply(
                 {.id = std::to_string(i), .service = "s", .address = "10.0.0.1:80", .slots = slot_count},
@@ -162,9 +184,10 @@
                 due_ -= 1;
                 arrive(static_cast<int>(random_.below(node_count)));
             }
+            take_back();
             for (auto& it : nodes_) {
                 for (const auto& gone : it.waiting.expired(at(now_))) {
-                    it.arrivals.erase(gone.number);
+                    refuse(it, gone);
                 }
                 send(it);
             }
@@ -211,6 +234,29 @@
         }
     }
 
+    void refuse(played_node& it, const waiting_request& gone) {
+        if (options_.callers_return && !gone.late) {
+            returning_.emplace(now_ + retry_ms, it.arrivals[gone.number]);
+        }
+        it.arrivals.erase(gone.number);
+    }
+
+    // Callers that were refused come back to any node.
+    void take_back() {
+        while (!returning_.empty() && returning_.begin()->first <= now_) {
+            auto& it = nodes_[random_.below(node_count)];
+            const auto number = ++next_;
+            it.arrivals[number] = returning_.begin()->second;
+            returning_.erase(returning_.begin());
+            it.waiting.push({.number = number,
+                             .service = "s",
+                             .late = true,
+                             .give_up = at(now_ + late_wait_ms),
+                             .since = at(now_)});
+            send(it);
+        }
+    }
+
     void arrive(int node) {
         ++total_;
         auto& it = nodes_[node];
@@ -223,7 +269,7 @@
         it.arrivals[number] = now_;
         it.waiting.push({.number = number,
                          .service = "s",
-                         .late = !newest_first_,
+                         .late = !options_.newest_first,
                          .give_up = at(now_) + decision.give_up_after,
                          .since = at(now_)});
         send(it);
@@ -235,7 +281,10 @@
             choice_request request{.candidates = directory_.of_service("s"),
                                    .cold_allowed = [](const upstream&) { return true; }};
             const auto own = service_number("s");
-            if (with_shares_ && it.shares->others_wait(own, at(now_))) {
+            if (options_.late_stand_back && front.late && it.shares->others_wait_on_time(own, at(now_))) {
+                return;
+            }
+            if (options_.with_shares && it.shares->others_wait(own, at(now_))) {
                 request.shares = &it.shares->of_service(
                     own, 40, directory_.of_service("s"), [](const upstream&) { return 4; }, at(now_));
                 request.lend_chance = it.shares->lend_chance(own, at(now_));
@@ -254,12 +303,13 @@
         }
     }
 
-    bool with_shares_;
-    bool newest_first_;
+    options options_;
     seeded_random random_;
     upstream_directory directory_;
     std::vector<played_node> nodes_;
     std::map<std::uint32_t, std::deque<played_request>> running_;
+    std::multimap<std::int64_t, std::int64_t>
+        returning_; // first arrivals of refused requests, by their return
     std::int64_t now_{0};
     double due_{0};
     std::uint64_t next_{0};
@@ -272,13 +322,23 @@
 // Guards against a burst in which all nodes send to the same free slots and every response comes late. Plays
 // what it replaced in the same way: no shares, and requests in the order of their arrival.
 TEST_CASE("slot_shares and wait_queue, burst of 1.3 times the capacity, serve most of it in time") {
-    const double before = played_burst(false, false).play();
-    const double shares = played_burst(true, false).play();
-    const double both = played_burst(true, true).play();
+    const double before = played_burst({.with_shares = false, .newest_first = false}).play();
+    const double shares = played_burst({.newest_first = false}).play();
+    const double both = played_burst({}).play();
     MESSAGE("in time: neither ", before, ", shares ", shares, ", shares and newest first ", both);
     CHECK(shares > before);
     CHECK(both > shares);
     CHECK(both >= 0.8 / 1.3); // at least four fifths of what the upstreams can end
 }
 
+// Guards against refused callers that come back late, take the slots of requests which are still on time, and
+// so keep the overload alive. Plays what it replaced in the same way: late requests take any free slot.
+TEST_CASE("slot_shares, refused callers come back late, serves those on time first") {
+    const double before = played_burst({.callers_return = true}).play();
+    const double after = played_burst({.callers_return = true, .late_stand_back = true}).play();
+    MESSAGE("in time: late requests take any free slot ", before, ", stand back ", after);
+    CHECK(after > before);
+    CHECK(after >= 0.8 / 1.3);
+}
+
 } // namespace berylcrank
