--- a/modules/berylcrank_gateway/node/gateway_node.cpp
+++ b/modules/berylcrank_gateway/node/gateway_node.cpp
@@ -78,15 +78,7 @@
     last_tick_ = now;
     gossip_.poll();
     announce();
-    if (follower_.complete()) {
-        if (now >= next_rank_) {
-            next_rank_ = now + rank_interval;
-            reader_rank_ = node_.peers.reader_rank(follower_.store_lost(), now);
-        }
-        follower_.tick(reader_rank_, now);
-    } else if (listed_ || now - started_ > list_patience) {
-        follower_.tick(node_.peers.rank_among_known(), now);
-    }
+    follow_store(now);
     node_.upstreams.expire(now);
     exchange_messages(now);
     pull_if_due(now);
@@ -113,6 +105,18 @@
     log_.flush();
 }
 
+void gateway_node::follow_store(instant now) {
+    if (follower_.complete()) {
+        if (now >= next_rank_) {
+            next_rank_ = now + rank_interval;
+            reader_rank_ = node_.peers.reader_rank(follower_.store_lost(), now);
+        }
+        follower_.tick(reader_rank_, now);
+    } else if (listed_ || now - started_ > list_patience) {
+        follower_.tick(node_.peers.rank_among_known(), now);
+    }
+}
+
 void gateway_node::announce() {
     if (announcing_ || (announced_ && listed_) || time_.now() < next_announce_) {
         return;
--- a/modules/berylcrank_gateway/node/gateway_node.h
+++ b/modules/berylcrank_gateway/node/gateway_node.h
@@ -39,6 +39,7 @@
 private:
     void next_tick();
     void tick(instant now);
+    void follow_store(instant now);
     void announce();
     void exchange_messages(instant now);
     void greet_seeds();
