Bound decoded values and attribute every response to its request

Cause: values from other writers and from servers in trouble were narrowed without a check. One registration with slots made slot_shares allocate without limit, a node record with an unusable IP address threw from the event loop, and one odd item made a whole page of records unreadable, so that a node which starts never became ready. A response without Request-Id, or a success without a signature, was passed on. A chunk line without an end grew to 1 GB. After a restart, an older copy of a peer could restore a removed key.

Ruled out: deep nesting. Boost.JSON stops at 32 levels.

Change: ranges where each field is decoded; unreadable items are skipped and the page goes on; a response must name its request and be signed; a refusal ends at 64 KiB of body; records before the end of a complete table are ignored if their key is unknown. Upstreams that announce their stop (Server-Leaving) are out of use until their next start, here and on the nodes of the cell. An upstream that answers 503 with Retry-After gets no request and no probe until then; if all upstreams of a service have asked for that, callers are refused at once with the time that is left.

--- a/modules/berylcrank_balance/catalog/record_table.cpp
+++ b/modules/berylcrank_balance/catalog/record_table.cpp
@@ -19,7 +19,9 @@
 
 void record_table::merge(std::span<const state_record> records, std::uint64_t end, instant confirmed) {
     for (const auto& it : records) {
-        merge_record(it);
+        if (!complete_ || it.offset >= end_ || records_.contains(it.key)) {
+            merge_record(it);
+        }
     }
     complete_ = true;
     end_ = std::max(end_, end);
@@ -41,7 +43,9 @@
     for (auto& it : removed_keys) {
         it.offset = std::max(it.offset, records_[it.key].record.offset + 1);
     }
-    merge(removed_keys, end, confirmed);
+    for (const auto& it : removed_keys) {
+        merge_record(it);
+    }
     merge(records, end, confirmed);
 }
 
--- a/modules/berylcrank_balance/catalog/record_table.h
+++ b/modules/berylcrank_balance/catalog/record_table.h
@@ -27,7 +27,8 @@
     explicit record_table(change_handler changed) : changed_(std::move(changed)) {}
 
     /** Merges consecutive records that start at or before the table's end; the table is then complete up to
-        `end`. The store's end was `end` at the time `confirmed`. */
+        `end`. The store's end was `end` at the time `confirmed`. Of keys that a complete table does not
+        contain, records before its end are ignored: their keys have been removed since. */
     void merge(std::span<const state_record> records, std::uint64_t end, instant confirmed);
 
     /** Merges the whole content of the store. Keys that it does not contain count as removed, except those
--- a/modules/berylcrank_balance/catalog/upstream_directory.cpp
+++ b/modules/berylcrank_balance/catalog/upstream_directory.cpp
@@ -29,7 +29,7 @@
     if (same_start) {
         bool changed = existing->entry.draining != entry.draining || existing->lapsed;
         existing->entry = entry;
-        existing->leaving = entry.draining;
+        existing->leaving = entry.draining || existing->announced_leave;
         existing->lapsed = false;
         if (entry.cold_left > millis{} && existing->cold_until < now) {
             set_cold(*existing, entry.cold_left, now);
@@ -42,7 +42,8 @@
     auto it = std::make_shared<upstream>();
     it->entry = entry;
     it->number = static_cast<std::uint32_t>(XXH3_64bits(entry.id.data(), entry.id.size()));
-    it->leaving = entry.draining;
+    it->announced_leave = has_announced_leave(entry);
+    it->leaving = entry.draining || it->announced_leave;
     set_cold(*it, restarted ? std::max(entry.cold_left, warm_up) : entry.cold_left, now);
     by_id_[entry.id] = it;
     by_number_[it->number] = it;
@@ -65,6 +66,39 @@
     drop(std::string(id));
 }
 
+bool upstream_directory::announce_leave(upstream& it) {
+    if (it.announced_leave) {
+        return false;
+    }
+    it.announced_leave = true;
+    it.leaving = true;
+    if (announced_leaves_.size() >= max_announced_leaves) {
+        absl::erase_if(announced_leaves_,
+                       [this](const auto& leave) { return !by_id_.contains(leave.first); });
+    }
+    announced_leaves_[it.entry.id] = it.entry.start_time_ms;
+    return true;
+}
+
+bool upstream_directory::has_announced_leave(const upstream_entry& entry) const {
+    const auto it = announced_leaves_.find(entry.id);
+    return it != announced_leaves_.end() && entry.start_time_ms <= it->second;
+}
+
+std::optional<instant> upstream_directory::paused_until(std::string_view service, instant now) const {
+    std::optional<instant> earliest;
+    for (const auto& it : of_service(service)) {
+        if (!usable(*it)) {
+            continue;
+        }
+        if (it->paused_until <= now) {
+            return std::nullopt;
+        }
+        earliest = earliest ? std::min(*earliest, it->paused_until) : it->paused_until;
+    }
+    return earliest;
+}
+
 void upstream_directory::expire(instant now) {
     if (now < next_lapse_) {
         return;
--- a/modules/berylcrank_balance/catalog/upstream_directory.h
+++ b/modules/berylcrank_balance/catalog/upstream_directory.h
@@ -6,6 +6,7 @@
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
 #include <memory>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -14,12 +15,14 @@
 /** This node's view of one upstream since its last start. */
 struct upstream {
     upstream_entry entry;
-    std::uint32_t number{0}; ///< Hash of the id, which identifies the upstream in messages between nodes.
-    bool leaving{false};     ///< Draining or removed; receives no new requests.
-    bool lapsed{false};      ///< Its registration expired, perhaps only because the store was down.
-    instant lapsed_until;    ///< Time at which a lapsed upstream is removed.
-    instant cold_until;      ///< End of the warm-up.
-    instant cold_updated_at; ///< Time of the last update of `cold_until`.
+    std::uint32_t number{0};     ///< Hash of the id, which identifies the upstream in messages between nodes.
+    bool leaving{false};         ///< Draining or removed; receives no new requests.
+    bool announced_leave{false}; ///< It announced its stop itself, which holds until its next start.
+    instant paused_until;        ///< It asked for no requests until then.
+    bool lapsed{false};          ///< Its registration expired, perhaps only because the store was down.
+    instant lapsed_until;        ///< Time at which a lapsed upstream is removed.
+    instant cold_until;          ///< End of the warm-up.
+    instant cold_updated_at;     ///< Time of the last update of `cold_until`.
 };
 
 using upstream_ptr = std::shared_ptr<upstream>;
@@ -51,12 +54,19 @@
     /** Updates the remaining warm-up time of an upstream, as reported at the time `when`. */
     static void set_cold(upstream& it, millis remaining, instant when);
 
+    /** Marks an upstream as leaving until its next start, whatever its registration says. Returns whether
+        that is new. */
+    bool announce_leave(upstream& it);
+
     /** Removes lapsed upstreams whose grace period has ended. */
     void expire(instant now);
 
     /** Returns whether an upstream may receive new requests now. */
     [[nodiscard]] bool usable(const upstream& it) const;
 
+    /** Returns the earliest end of the pauses of a service's usable upstreams if all of them are paused. */
+    [[nodiscard]] std::optional<instant> paused_until(std::string_view service, instant now) const;
+
     /** Returns whether a failure domain is evacuated. */
     [[nodiscard]] bool evacuated(std::string_view failure_domain) const;
     /** Returns the upstreams of a service; empty if there are none. */
@@ -69,11 +79,16 @@
     [[nodiscard]] const absl::flat_hash_map<std::string, upstream_ptr>& all() const { return by_id_; }
 
 private:
+    /** Number of announced leaves that are remembered after their upstreams have gone. */
+    static constexpr std::size_t max_announced_leaves = 4096;
+
     void drop(const std::string& id);
+    [[nodiscard]] bool has_announced_leave(const upstream_entry& entry) const;
 
     absl::flat_hash_map<std::string, upstream_ptr> by_id_;
     absl::flat_hash_map<std::uint32_t, upstream_ptr> by_number_;
     absl::flat_hash_map<std::string, std::vector<upstream_ptr>> by_service_;
+    absl::flat_hash_map<std::string, std::uint64_t> announced_leaves_; // start time by id
     absl::flat_hash_set<std::string> evacuated_;
     instant next_lapse_{instant::never()}; // earliest time at which a lapsed upstream is removed
 };
--- a/modules/berylcrank_balance/choice/upstream_choice.cpp
+++ b/modules/berylcrank_balance/choice/upstream_choice.cpp
@@ -58,7 +58,7 @@
     const int slot_limit = request.shares != nullptr ? usable_slots(slots, options) : slots;
     const bool fresh = request.max_report_age == any_report_age ||
                        (load.reported && now - load.report.at <= request.max_report_age);
-    if (!fresh || load.down_until > now || result.in_flight >= slot_limit ||
+    if (!fresh || load.down_until > now || it.paused_until > now || result.in_flight >= slot_limit ||
         !may_use_slot(request, it, load, slot_limit - result.in_flight, borrow_probability, random, now) ||
         (cold && !request.cold_allowed(it))) {
         return result;
--- a/modules/berylcrank_gateway/client/client_connection.cpp
+++ b/modules/berylcrank_gateway/client/client_connection.cpp
@@ -26,7 +26,8 @@
                           &seconds)) {
         return {};
     }
-    return millis{seconds * 1000};
+    return seconds > client_connection::max_keep_alive.count() / 1000 ? client_connection::max_keep_alive
+                                                                      : millis{seconds * 1000};
 }
 
 } // namespace
@@ -166,7 +167,12 @@
             discarding_ = true; // interim response
         } else {
             keep_alive_ = parse_keep_alive(parser_->head.headers);
-            discarding_ = !sink_->on_head(parser_->head);
+            const auto action = sink_->on_head(parser_->head);
+            if (action == head_action::reject) {
+                fail(call_failure::garbled);
+                return false;
+            }
+            discarding_ = action == head_action::discard;
             discarded_any_ = discarded_any_ || discarding_;
             head_delivered_ = !discarding_;
         }
--- a/modules/berylcrank_gateway/client/client_connection.h
+++ b/modules/berylcrank_gateway/client/client_connection.h
@@ -21,6 +21,13 @@
 /** Returns the text of a call_failure for logs. */
 std::string_view to_string(call_failure it);
 
+/** What a response_sink does with a response. */
+enum class head_action : std::uint8_t {
+    accept,  ///< Receives the body.
+    discard, ///< Ignores the response and waits for the next one on the connection.
+    reject,  ///< Fails the call as garbled.
+};
+
 /** Interface to the receiver of a response. Callbacks run from the event loop, never during `call`. */
 class response_sink {
 public:
@@ -29,9 +36,8 @@
     response_sink& operator=(const response_sink&) = delete;
     virtual ~response_sink() = default;
 
-    /** Called with the head of the response. Return false to discard this response and wait for the next
-        one. */
-    virtual bool on_head(const response_head& head) = 0;
+    /** Called with the head of the response. */
+    virtual head_action on_head(const response_head& head) = 0;
     /** Called with bytes of the body. */
     virtual void on_body(std::string_view bytes) = 0;
     /** Called when the response is complete. With `reusable`, the connection accepts another call. */
@@ -48,6 +54,8 @@
 public:
     /** Time after which unacknowledged bytes close the connection (TCP_USER_TIMEOUT). */
     static constexpr millis unacknowledged_timeout{2500};
+    /** Upper bound of the idle timeout that a server can state. */
+    static constexpr millis max_keep_alive{3600000};
 
     client_connection(boost::asio::io_context& io, boost::asio::ip::tcp::endpoint address, const clock& time)
         : socket_(io), address_(std::move(address)), time_(time), writer_(socket_) {}
@@ -71,8 +79,8 @@
     [[nodiscard]] const std::string& error() const { return error_; }
     /** When the last response ended. */
     [[nodiscard]] instant idle_since() const { return idle_since_; }
-    /** Idle timeout that the server stated in the Keep-Alive header of its last response; 0 if it stated
-        none. */
+    /** Idle timeout that the server stated in the Keep-Alive header of its last response, at most
+        `max_keep_alive`; 0 if it stated none. */
     [[nodiscard]] millis keep_alive() const { return keep_alive_; }
 
 private:
--- a/modules/berylcrank_gateway/client/http_client.cpp
+++ b/modules/berylcrank_gateway/client/http_client.cpp
@@ -14,9 +14,9 @@
 
     void start(std::string request) { connection_->call(std::move(request), *this); }
 
-    bool on_head(const response_head& head) override {
+    head_action on_head(const response_head& head) override {
         result_.head = head;
-        return true;
+        return head_action::accept;
     }
 
     void on_body(std::string_view bytes) override {
--- a/modules/berylcrank_gateway/flow/attempt.cpp
+++ b/modules/berylcrank_gateway/flow/attempt.cpp
@@ -8,6 +8,8 @@
 // upstream.
 constexpr double shed_weight = 0.3;
 
+constexpr std::size_t max_refusal_bytes = 65536; // of the body of a response that reports "not run"
+
 } // namespace
 
 attempt::attempt(node_state& node, attempt_owner& owner, upstream_ptr target, std::string request_id)
@@ -34,10 +36,20 @@
     }
 }
 
-bool attempt::on_head(const response_head& it) {
+head_action attempt::classify(const response_head& it) const {
+    const auto& names = node_.wire.headers();
+    const auto* id = find_header(it.headers, names.request_id);
+    if (id != nullptr && *id != request_id_) {
+        return head_action::discard;
+    }
+    // Upstreams echo the id. Without it, the response may belong to an earlier request on the connection.
+    const bool is_unattributable = id == nullptr && !request_id_.empty();
+    const bool is_unsigned = it.status < 300 && find_header(it.headers, names.signature) == nullptr;
+    return is_unattributable || is_unsigned ? head_action::reject : head_action::accept;
+}
+
+void attempt::apply_upstream_state(const response_head& it, instant now) {
     const auto& names = node_.wire.headers();
-    const auto now = node_.time.now();
-    last_activity_ = now;
     if (const auto* text = find_header(it.headers, names.load)) {
         if (auto report = node_.wire.read_load(*text)) {
             report->at = now;
@@ -45,29 +57,47 @@
             load = report;
         }
     }
-    const auto* id = find_header(it.headers, names.request_id);
-    if (id != nullptr && *id != request_id_) {
-        node_.metrics.count_event("late-response-discarded");
-        node_.log.line("response-discarded")
+    node_.apply_leaving(*target_, it.headers, now);
+    if (it.status == 503) {
+        node_.apply_retry_after(*target_, it.headers, now);
+    }
+}
+
+head_action attempt::on_head(const response_head& it) {
+    const auto now = node_.time.now();
+    last_activity_ = now;
+    const auto action = classify(it);
+    if (action != head_action::accept) {
+        const auto* id = find_header(it.headers, node_.wire.headers().request_id);
+        node_.metrics.count_event(action == head_action::discard ? "late-response-discarded"
+                                                                 : "response-rejected");
+        node_.log.line(action == head_action::discard ? "response-discarded" : "response-rejected")
             .field("request", request_id_)
             .field("upstream", target_->entry.id)
-            .field("bears", *id)
+            .field("status", it.status)
+            .field("bears", id == nullptr ? "" : *id)
             .send();
-        return false;
+        return action;
     }
+    apply_upstream_state(it, now);
     head = it;
     has_head = true;
-    not_run = it.status == 421 || find_header(it.headers, names.not_run) != nullptr;
-    return true;
+    not_run = it.status == 421 ||
+              (it.status >= 400 && find_header(it.headers, node_.wire.headers().not_run) != nullptr);
+    return action;
 }
 
 void attempt::on_body(std::string_view bytes) {
     last_activity_ = node_.time.now();
+    received_ += bytes.size();
     if (not_run) {
+        if (received_ > max_refusal_bytes) { // the head is the answer; the body may never end
+            connection_->cancel();
+            on_done(false);
+        }
         return;
     }
     body.append(bytes);
-    received_ += bytes.size();
     if (owner_ != nullptr) {
         owner_->on_progress(*this);
     }
--- a/modules/berylcrank_gateway/flow/attempt.h
+++ b/modules/berylcrank_gateway/flow/attempt.h
@@ -45,7 +45,7 @@
     /** Detaches the owner, closes the connection and ends the attempt with send_result::unknown. */
     void cancel();
 
-    bool on_head(const response_head& head) override;
+    head_action on_head(const response_head& head) override;
     void on_body(std::string_view bytes) override;
     void on_done(bool reusable) override;
     void on_failed(call_failure reason) override;
@@ -73,6 +73,9 @@
     bool complete{false}; ///< The whole response has arrived.
 
 private:
+    /** Returns what to do with a response, by the request id and the signature that it carries. */
+    [[nodiscard]] head_action classify(const response_head& it) const;
+    void apply_upstream_state(const response_head& it, instant now);
     void end(send_result result);
     void count_outcome(bool good, double weight);
 
--- a/modules/berylcrank_gateway/flow/node_state.h
+++ b/modules/berylcrank_gateway/flow/node_state.h
@@ -22,6 +22,9 @@
         two. */
     static constexpr millis refusal_memory{3000};
 
+    /** Time for which messages to other nodes repeat an announced stop, since datagrams can be lost. */
+    static constexpr millis leave_repeat_time{250};
+
     node_state(boost::asio::io_context& io, const clock& time_source, const wire_format& format,
                event_log& events, gateway_options node_options, std::uint64_t seed)
         : time(time_source), wire(format), log(events), options(std::move(node_options)), random(seed),
@@ -48,9 +51,12 @@
     peer_table peers;
     slot_shares shares;
     upstream_subset subset;
-    connection_pool connections;            // to upstreams
-    instant last_refusal;                   // when this node last refused a request
-    std::function<void()> receive_messages; // updates the loads before an upstream is chosen
+    connection_pool connections;                 // to upstreams
+    instant last_refusal;                        // when this node last refused a request
+    instant membership_valid_from;               // until then, the view of the other nodes may be out of date
+    std::vector<std::uint32_t> announced_leaves; // upstreams that announced their stop to this node
+    instant announced_leaves_until;              // until then, messages to other nodes contain them
+    std::function<void()> receive_messages;      // updates the loads before an upstream is chosen
     absl::flat_hash_map<std::string, windowed_retry_budget> budgets;
     absl::flat_hash_map<std::string, instant> last_spill; // when a service last used upstreams of other cells
 
@@ -83,8 +89,22 @@
     /** Returns true if this node may send a request to a cold upstream now. */
     [[nodiscard]] bool may_send_to_cold(const upstream& it, instant now) {
         const double rate = cold_request_rate(it.entry.service);
-        return rate <= 0 || (is_responsible_for(it, now) && warmups.allows(it.number, rate, now));
+        return rate <= 0 || (now >= membership_valid_from && is_responsible_for(it, now) &&
+                             warmups.allows(it.number, rate, now));
+    }
+
+    /** Call this when the process continues after a pause, in which it received no messages. Until the other
+        nodes have been heard again, they seem to be gone and this node would take over their duties. */
+    void on_resumed(instant now) {
+        membership_valid_from = now + peer_table::domain_timeout;
+        start.begin(now);
     }
+
+    /** Stops sending to an upstream that announces its stop in the headers of a response. */
+    void apply_leaving(upstream& it, const header_list& headers, instant now);
+
+    /** Stops sending to an upstream for the time that the headers of its response state, if any. */
+    void apply_retry_after(upstream& it, const header_list& headers, instant now);
 };
 
 /** Returns the key of an upstream's idle connections: address and id, because addresses are reused. */
--- a/modules/berylcrank_gateway/flow/prober.cpp
+++ b/modules/berylcrank_gateway/flow/prober.cpp
@@ -9,6 +9,7 @@
 
 constexpr std::size_t max_health_body = 65536; // bytes
 constexpr double unhealthy_weight = 0.3; // in the failure share; low because a health check can be wrong
+constexpr millis max_warm_up{86400000};  // longer times are malformed
 constexpr int down_factor = 4;           // on the probe interval of an unreachable upstream
 constexpr int spill_factor = 4; // on the probe interval of an upstream that its own cell probes as well
 constexpr millis spill_probe_time{
@@ -58,7 +59,7 @@
         next_check_ = std::min(next_check_, state.next);
         return false;
     }
-    return node_.peers.owns(it.number, now) && node_.upstreams.usable(it);
+    return it.paused_until <= now && node_.peers.owns(it.number, now) && node_.upstreams.usable(it);
 }
 
 void prober::probe_if_due(const upstream_ptr& it, const std::string& path, instant now) {
@@ -95,6 +96,10 @@
         return;
     }
     node_.metrics.count_probe(result.head.status == 200 ? "healthy" : "unhealthy");
+    node_.apply_leaving(*it, result.head.headers, now);
+    if (result.head.status == 503) {
+        node_.apply_retry_after(*it, result.head.headers, now);
+    }
     if (const auto* value = find_header(result.head.headers, names.load)) {
         if (auto report = node_.wire.read_load(*value)) {
             report->at = now;
@@ -108,7 +113,7 @@
     node_.loads.reachable(it->number);
     const auto* cold = find_header(result.head.headers, names.warm_up_left);
     double ms = 0;
-    if (cold != nullptr && !absl::SimpleAtod(*cold, &ms)) {
+    if (cold != nullptr && (!absl::SimpleAtod(*cold, &ms) || !(ms >= 0 && ms <= max_warm_up.value()))) {
         ms = 0;
         node_.metrics.count_event("unreadable-warm-up");
     }
--- a/modules/berylcrank_gateway/flow/request_flow.cpp
+++ b/modules/berylcrank_gateway/flow/request_flow.cpp
@@ -13,14 +13,16 @@
 
 // Maximum age of the load report of an upstream of another cell: two probe intervals.
 constexpr millis spill_report_age{500};
+constexpr millis max_stated_timeout{86400000}; // longer times of callers count as this
 
 // The timeout that the caller states in its request, if any.
 std::optional<millis> stated_timeout(const exchange& caller, const node_state& node) {
     const auto* text = find_header(caller.head.headers, node.wire.headers().timeout);
     double ms = 0;
-    if (text == nullptr || !absl::SimpleAtod(*text, &ms) || ms <= 0) {
+    if (text == nullptr || !absl::SimpleAtod(*text, &ms) || !(ms > 0)) {
         return std::nullopt;
     }
+    ms = std::min(ms, max_stated_timeout.value());
     return millis::from_value(ms);
 }
 
@@ -61,6 +63,11 @@
         return;
     }
     const auto decision = decide_admission(make_admission_inputs(now, ahead), node_.options.admission);
+    const auto pause_end = node_.upstreams.paused_until(service_, now);
+    if (pause_end && *pause_end > now + decision.max_wait) {
+        refuse("upstreams-paused");
+        return;
+    }
     if (!decision.waits) {
         refuse(picked.any_usable ? "no-room" : "no-upstream");
         return;
--- a/modules/berylcrank_gateway/flow/request_flow_end.cpp
+++ b/modules/berylcrank_gateway/flow/request_flow_end.cpp
@@ -9,9 +9,12 @@
 
 void request_flow::refuse(std::string_view reason) {
     const auto now = node_.time.now();
-    const auto after =
+    auto after =
         retry_after(make_admission_inputs(now, node_.waiting.ahead_of(service_, route_->priority, true)),
                     node_.options.admission);
+    if (const auto pause_end = node_.upstreams.paused_until(service_, now)) {
+        after = std::max(after, *pause_end - now);
+    }
     node_.last_refusal = now;
     node_.log.line("refused")
         .field("request", id_)
@@ -48,6 +51,9 @@
     for (const auto& it : attempts) {
         it->check_connect_timeout(now);
     }
+    if (abandoned_ && now >= deadline_) {
+        finish("abandoned", 0); // the upstream stops at the deadline as well
+    }
     if (done_ || abandoned_) {
         return;
     }
--- a/modules/berylcrank_gateway/flow/wire_format.h
+++ b/modules/berylcrank_gateway/flow/wire_format.h
@@ -19,6 +19,8 @@
     std::string target_upstream; ///< Id of the only upstream that may run the request.
     std::string not_run;         ///< On a response: the upstream did not run the request.
     std::string retry_after;     ///< Seconds, with fractions.
+    std::string signature;       ///< On a response that an upstream produced by running a request.
+    std::string leaving;         ///< On a response: the upstream is about to stop.
     std::string load;            ///< On a response: the load of the upstream.
     std::string upstream_id;     ///< On a health response: id of the upstream.
     std::string warm_up_left;    ///< On a health response: milliseconds until the upstream is warm.
@@ -31,6 +33,9 @@
     implements it; it contains no decisions. Errors are std::string with the reason. */
 class wire_format {
 public:
+    /** Upper bound of a time that an upstream asks to be left alone. */
+    static constexpr millis max_retry_after{3600000};
+
     wire_format() = default;
     wire_format(const wire_format&) = delete;
     wire_format& operator=(const wire_format&) = delete;
@@ -41,6 +46,13 @@
     /** Parses the load header. Returns nothing if it is malformed. Does not set `at`. */
     [[nodiscard]] virtual std::optional<load_snapshot> read_load(std::string_view value) const = 0;
 
+    /** Parses the retry header of a response. Returns nothing if it is not a number of seconds. The result is
+        between 0 and `max_retry_after`. */
+    [[nodiscard]] virtual std::optional<millis> read_retry_after(std::string_view value) const = 0;
+
+    /** Returns whether the value of the leaving header announces a stop. */
+    [[nodiscard]] virtual bool read_leaving(std::string_view value) const = 0;
+
     /** Returns the kind of the record that an operators' key names. Sets `failure_domain` for an
         evacuation. */
     [[nodiscard]] virtual operator_record classify(std::string_view key,
--- a/modules/berylcrank_gateway/http/message_parser.h
+++ b/modules/berylcrank_gateway/http/message_parser.h
@@ -19,6 +19,10 @@
 public:
     using head_type = std::conditional_t<is_request, request_head, response_head>;
 
+    /** Maximum number of bytes that are kept of a line that has not ended. Beast limits the header but not
+       the lines of a chunked body. */
+    static constexpr std::size_t max_line_bytes = 65536;
+
     message_parser() {
         this->eager(true);
         this->body_limit(boost::none);
@@ -36,6 +40,7 @@
                 return used;
             }
             carry_.assign(bytes.substr(used));
+            check_line_length(ec);
             return bytes.size();
         }
         const auto carried = carry_.size();
@@ -45,10 +50,17 @@
             return used > carried ? used - carried : 0;
         }
         carry_.erase(0, used);
+        check_line_length(ec);
         return bytes.size();
     }
 
 private:
+    void check_line_length(boost::beast::error_code& ec) const {
+        if (this->is_header_done() && carry_.size() > max_line_bytes) {
+            ec = boost::beast::http::error::header_limit;
+        }
+    }
+
     std::size_t parse(std::string_view bytes, boost::beast::error_code& ec) {
         std::size_t used = 0;
         while (used < bytes.size() && !this->is_done()) {
--- a/modules/berylcrank_gateway/peers/node_message.cpp
+++ b/modules/berylcrank_gateway/peers/node_message.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <boost/asio/ip/address.hpp>
 #include <capnp/message.h>
 #include <capnp/serialize-packed.h>
 #include <cstring>
@@ -16,7 +17,12 @@
 constexpr std::uint32_t max_inflated = 64U << 20U; // bytes of a state response
 constexpr std::size_t size_bytes = 4;
 constexpr std::size_t scratch_words = 1024;
-constexpr std::uint64_t traversal_words = 8U << 20U; // limits the work that a malicious message can cause
+// Limits of the work and memory that a malformed message can cause.
+constexpr std::uint64_t datagram_words = 64U << 10U;
+constexpr std::uint64_t state_words = 8U << 20U;
+constexpr std::size_t max_list_entries = 16384; // of each list of a datagram
+constexpr std::size_t max_deflate_ratio = 1100; // zlib compresses to no less than a 1032th
+constexpr std::size_t max_text_bytes = 255;     // of each text that describes a node
 
 template <typename Number>
 Number clamped(double value) {
@@ -52,7 +58,7 @@
         return std::nullopt;
     }
     std::memcpy(&size, bytes.data(), size_bytes);
-    if (size > max_inflated) {
+    if (size > max_inflated || size / max_deflate_ratio > bytes.size()) {
         return std::nullopt;
     }
     std::string result(size, '\0');
@@ -67,12 +73,12 @@
 }
 
 template <typename Reader, typename Read>
-bool unpack(std::string_view bytes, Read read) {
+bool unpack(std::string_view bytes, std::uint64_t max_words, Read read) {
     try {
         kj::ArrayInputStream in(kj::arrayPtr(reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
         // Avoids an allocation for most messages. Static because one thread decodes all messages.
         static std::array<capnp::word, scratch_words> scratch;
-        capnp::PackedMessageReader message(in, {.traversalLimitInWords = traversal_words},
+        capnp::PackedMessageReader message(in, {.traversalLimitInWords = max_words},
                                            kj::arrayPtr(scratch.data(), scratch.size()));
         read(message.getRoot<Reader>());
         return true;
@@ -198,6 +204,9 @@
                                   .late = waiting.getLate(),
                                   .per_second = waiting.getPerSecond()});
     }
+    for (const auto upstream : it.getLeaving()) {
+        result.leaving.push_back(upstream);
+    }
     if (it.hasSelf()) {
         result.self = read_info(it.getSelf());
     }
@@ -210,13 +219,23 @@
                                  .blind = entry.getBlind()});
     }
     for (const auto info : it.getKnown()) {
-        result.known.push_back(read_info(info));
+        if (auto node = read_info(info); is_valid(node)) {
+            result.known.push_back(std::move(node));
+        }
     }
     return result;
 }
 
 } // namespace
 
+bool is_valid(const node_info& it) {
+    boost::system::error_code ec;
+    const auto ip = boost::asio::ip::make_address(it.ip, ec);
+    const bool texts_fit =
+        std::max({it.name.size(), it.front_address.size(), it.failure_domain.size()}) <= max_text_bytes;
+    return !ec && ip.is_v4() && it.gossip_port != 0 && texts_fit;
+}
+
 std::string encode(const node_message& it, instant now) {
     capnp::MallocMessageBuilder message;
     auto to = message.initRoot<schema::NodeMessage>();
@@ -246,6 +265,10 @@
         flights[i].setCount(clamped<std::uint16_t>(it.in_flight[i].count));
     }
     write(to.initWaiting(static_cast<unsigned>(it.waiting.size())), it.waiting);
+    auto leaving = to.initLeaving(static_cast<unsigned>(it.leaving.size()));
+    for (unsigned i = 0; i < it.leaving.size(); ++i) {
+        leaving.set(i, it.leaving[i]);
+    }
     if (it.self) {
         write(to.initSelf(), *it.self);
     }
@@ -258,8 +281,16 @@
 
 std::optional<node_message> decode_message(std::string_view bytes, instant now) {
     std::optional<node_message> result;
-    unpack<schema::NodeMessage>(bytes,
-                                [&](schema::NodeMessage::Reader it) { result = read_message(it, now); });
+    unpack<schema::NodeMessage>(bytes, datagram_words, [&](schema::NodeMessage::Reader it) {
+        const auto largest = std::max({it.getLoads().size(), it.getInFlight().size(), it.getWaiting().size(),
+                                       it.getRoster().size(), it.getKnown().size(), it.getLeaving().size()});
+        if (largest <= max_list_entries) {
+            result = read_message(it, now);
+        }
+    });
+    if (result && result->self && !is_valid(*result->self)) {
+        return std::nullopt;
+    }
     return result;
 }
 
@@ -287,7 +318,7 @@
     if (!message) {
         return result;
     }
-    unpack<schema::StateAnswer>(*message, [&](schema::StateAnswer::Reader it) {
+    unpack<schema::StateAnswer>(*message, state_words, [&](schema::StateAnswer::Reader it) {
         state_response response;
         for (std::size_t i = 0; i < std::min<std::size_t>(record_source_count, it.getRuns().size()); ++i) {
             const auto run = it.getRuns()[static_cast<unsigned>(i)];
--- a/modules/berylcrank_gateway/peers/node_message.h
+++ b/modules/berylcrank_gateway/peers/node_message.h
@@ -48,6 +48,7 @@
     bool store_unreachable{false}; ///< The sender cannot read the store.
     std::vector<roster_entry> roster;
     std::vector<waiting_count> waiting; ///< Requests that wait at the sender for a free slot.
+    std::vector<std::uint32_t> leaving; ///< Upstreams that announced their stop to the sender.
 };
 
 /** A range of records of one source and the watermark of its sender. */
@@ -57,6 +58,9 @@
 };
 using state_response = std::array<record_range, record_source_count>;
 
+/** Returns whether the addresses of a node can be used and its texts are of a size that fits a message. */
+bool is_valid(const node_info& it);
+
 /** Encodes a message. `now` converts instants to ages, since nodes do not share a clock. */
 std::string encode(const node_message& it, instant now);
 /** Decodes a message. `now` converts ages to instants. Returns nothing if the bytes are malformed. */
--- a/modules/berylcrank_gateway/state/metadata_store.h
+++ b/modules/berylcrank_gateway/state/metadata_store.h
@@ -25,8 +25,9 @@
 struct store_read_result {
     store_outcome outcome{store_outcome::unavailable};
     std::vector<state_record> records;
-    std::uint64_t end{0}; ///< Offset after the last record read.
-    bool more{false};     ///< The source has more records.
+    std::uint64_t end{0};      ///< Offset after the last record read.
+    bool more{false};          ///< The source has more records.
+    std::size_t unreadable{0}; ///< Items that could not be parsed and are left out.
 };
 
 /** Interface to the platform's store. Calls are asynchronous: each handler runs once, from the event loop,
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -90,6 +90,8 @@
   # The sender cannot read the store.
   waiting @12 :List(Waiting);
   # Requests in the sender's queue.
+  leaving @13 :List(UInt32);
+  # Upstreams that announced their stop to the sender.
 }
 
 struct Record {
--- a/tests/adapter/platform_test.cpp
+++ b/tests/adapter/platform_test.cpp
@@ -68,6 +68,62 @@
     CHECK_FALSE(upstream(with_replaced(valid_entry, R"("sequence":4)", R"("sequence":4.5)")));
 }
 
+// Guards against values that drive memory, loops or times out of range. Entries of other writers may hold
+// any.
+TEST_CASE_FIXTURE(json_wire_format_fixture,
+                  "json_wire_format, registration with a value out of range, is an error") {
+    for (const auto* slots : {"0", "-1", "1000000", "2147483648", "1e3", "1e999", "99999999999999999999"}) {
+        CAPTURE(slots);
+        CHECK_FALSE(upstream(with_replaced(valid_entry, R"("slots":6)", std::string(R"("slots":)") + slots)));
+    }
+    for (const auto* port : {"0", "-1", "65536", "80x", ""}) {
+        CAPTURE(port);
+        CHECK_FALSE(upstream(with_replaced(valid_entry, "10.0.0.1:80", std::string("10.0.0.1:") + port)));
+    }
+    for (const auto* sequence : {"-1", "9223372036854775807", "18446744073709551615"}) {
+        CAPTURE(sequence);
+        CHECK_FALSE(upstream(
+            with_replaced(valid_entry, R"("sequence":4)", std::string(R"("sequence":)") + sequence)));
+    }
+    for (const auto* born : {"-1", "9223372036854775807", "1700000000123.5"}) {
+        CAPTURE(born);
+        CHECK_FALSE(upstream(with_replaced(valid_entry, "1700000000123", born)));
+    }
+    for (const auto* warm_up : {"-1", "1e8", "1e999"}) {
+        CAPTURE(warm_up);
+        CHECK_FALSE(upstream(with_replaced(valid_entry, "1.5", warm_up)));
+    }
+    CHECK_FALSE(upstream(with_replaced(valid_entry, R"("s")", R"("")")));
+    CHECK_FALSE(upstream(with_replaced(valid_entry, R"("z")", '"' + std::string(1000000, 'z') + '"')));
+    CHECK_FALSE(upstream(std::string(10000, '[')));
+    CHECK_FALSE(upstream(R"({"service":)" + std::string(10000, '{')));
+}
+
+// Guards against load figures that poison averages or counters.
+TEST_CASE_FIXTURE(json_wire_format_fixture, "json_wire_format, load header out of range, is ignored") {
+    for (const auto* text : {"-1,0,4", "1,-5,4", "1,0,70000", "1,0,4,nan", "1,0,4,inf", "1,0,4,-3",
+                             "1,0,4,1e300", "99999999999,0,4"}) {
+        CAPTURE(text);
+        CHECK_FALSE(subject.read_load(text));
+    }
+}
+
+// Guards against a pause that is negative, endless or misread.
+TEST_CASE_FIXTURE(json_wire_format_fixture,
+                  "json_wire_format, retry header, is read in seconds and bounded") {
+    CHECK(subject.read_retry_after("1.25") == millis{1250});
+    CHECK(subject.read_retry_after("0") == millis{});
+    CHECK(subject.read_retry_after("-3") == millis{});
+    CHECK(subject.read_retry_after("1e30") == wire_format::max_retry_after);
+    CHECK(subject.read_retry_after("inf") == wire_format::max_retry_after);
+    for (const auto* text : {"", "nan", "soon", "Sat, 05 Dec 2026 07:28:00 GMT"}) {
+        CAPTURE(text);
+        CHECK_FALSE(subject.read_retry_after(text));
+    }
+    CHECK(subject.read_leaving("1"));
+    CHECK_FALSE(subject.read_leaving("0"));
+}
+
 // Guards against routes, traffic splits or limits that are assigned to the wrong fields.
 TEST_CASE_FIXTURE(json_wire_format_fixture, "json_wire_format, configuration, is parsed completely") {
     const auto it = config(
--- a/tests/balance/catalog_test.cpp
+++ b/tests/balance/catalog_test.cpp
@@ -87,6 +87,52 @@
     CHECK(subject.confirmed() == at(30));
 }
 
+// An old copy from a node that was paused must not restore a key that a restarted node never saw, because the
+// key had been removed before its snapshot.
+TEST_CASE_FIXTURE(record_table_fixture,
+                  "record_table, older copy has a key that was removed since, ignores it") {
+    subject.merge_snapshot(std::vector<state_record>{{.key = "b", .offset = 8, .value = "1"}}, 12, at(10));
+    subject.merge(std::vector<state_record>{{.key = "a", .offset = 5, .value = "1"},
+                                            {.key = "b", .offset = 6, .value = "0"}},
+                  7, at(20));
+    CHECK(seen.size() == 1);
+    CHECK(seen.back().key == "b");
+    subject.merge(std::vector<state_record>{{.key = "a", .offset = 12, .value = "2"}}, 13, at(30));
+    CHECK(seen.back().key == "a");
+}
+
+// An upstream that announced its stop must stay out of use until its next start, whatever the order in which
+// records of its registration arrive.
+TEST_CASE_FIXTURE(directory_fixture,
+                  "upstream_directory, stop announced by the upstream, ends with its next start") {
+    subject.apply(entry("a", 100, 3), warm_up, at(0));
+    CHECK(subject.announce_leave(*subject.find("a")));
+    CHECK_FALSE(subject.announce_leave(*subject.find("a")));
+    subject.apply(entry("a", 100, 4), warm_up, at(10));
+    CHECK_FALSE(subject.usable(*subject.find("a")));
+    subject.remove("a", false, at(20));
+    subject.apply(entry("a", 100, 5), warm_up, at(30)); // for example from another node's older copy
+    CHECK_FALSE(subject.usable(*subject.find("a")));
+    subject.remove("a", true, at(40));
+    subject.apply(entry("a", 100, 6), warm_up, at(50));
+    CHECK_FALSE(subject.usable(*subject.find("a")));
+    subject.apply(entry("a", 200, 1), warm_up, at(60));
+    CHECK(subject.usable(*subject.find("a")));
+}
+
+// Callers must learn when a paused service takes requests again, and must not wait while one upstream does.
+TEST_CASE_FIXTURE(directory_fixture, "upstream_directory, all upstreams paused, returns the earliest end") {
+    subject.apply(entry("a", 100, 1), warm_up, at(0));
+    subject.apply(entry("b", 100, 1), warm_up, at(0));
+    CHECK_FALSE(subject.paused_until("s", at(0)));
+    subject.find("a")->paused_until = at(500);
+    CHECK_FALSE(subject.paused_until("s", at(0)));
+    subject.find("b")->paused_until = at(300);
+    CHECK(subject.paused_until("s", at(0)) == at(300));
+    CHECK_FALSE(subject.paused_until("s", at(300)));
+    CHECK_FALSE(subject.paused_until("unknown", at(0)));
+}
+
 // A late registration from an earlier start must not restore the old address of an upstream.
 TEST_CASE_FIXTURE(directory_fixture, "upstream_directory, registration of an earlier start, is ignored") {
     subject.apply(entry("u", 2000, 1), warm_up, at(0));
--- a/tests/balance/choice_test.cpp
+++ b/tests/balance/choice_test.cpp
@@ -74,6 +74,16 @@
     CHECK(slow_again);
 }
 
+// An upstream that asked for a pause must get no request until the pause ends, even if it is the only one.
+TEST_CASE_FIXTURE(choice_fixture, "choose_upstream, upstream asked for a pause, skips it until then") {
+    add("a");
+    directory.find("a")->paused_until = at(1500);
+    CHECK_FALSE(pick(at(1499)).it);
+    CHECK(pick(at(1500)).it);
+    add("b");
+    CHECK(pick(at(1000)).it->entry.id == "b");
+}
+
 // Nodes must not all fill the same upstream because each counts only its own requests.
 TEST_CASE_FIXTURE(choice_fixture, "choose_upstream, other nodes have filled one, includes their requests") {
     add("a");
--- a/tests/gateway/message_test.cpp
+++ b/tests/gateway/message_test.cpp
@@ -60,6 +60,75 @@
     }
 }
 
+// Guards against memory that grows with a line of a chunked body that never ends.
+TEST_CASE("message_parser, endless line in a chunked body, is an error") {
+    for (const auto* start : {"1;", "0\r\nTrailer: "}) {
+        CAPTURE(start);
+        response_parser subject;
+        boost::beast::error_code ec;
+        subject.feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", ec);
+        REQUIRE_FALSE(ec);
+        subject.feed(start, ec);
+        std::size_t fed = 0;
+        while (!ec && fed < 4 * response_parser::max_line_bytes) {
+            const std::string block(1000, 'x');
+            subject.feed(block, ec);
+            fed += block.size();
+        }
+        CHECK(ec);
+        CHECK(fed <= response_parser::max_line_bytes + 2000);
+    }
+}
+
+// Guards against a message with an address that ends the process, or with lists that exhaust its memory.
+TEST_CASE("node_message, addresses or counts out of range, is rejected") {
+    const node_info good{.name = "n", .ip = "10.0.0.1", .gossip_port = 7540, .front_address = "10.0.0.1:80"};
+    CHECK(is_valid(good));
+    for (const auto* ip : {"", "nowhere", "10.0.0.256", "::1"}) {
+        CAPTURE(ip);
+        auto it = good;
+        it.ip = ip;
+        CHECK_FALSE(is_valid(it));
+        const node_message message{.node = 7, .self = it, .known = {it, good}};
+        CHECK_FALSE(decode_message(encode(message, at(1)), at(1)));
+    }
+    auto no_port = good;
+    no_port.gossip_port = 0;
+    CHECK_FALSE(is_valid(no_port));
+    auto long_name = good;
+    long_name.name = std::string(300, 'n');
+    CHECK_FALSE(is_valid(long_name));
+    const auto known =
+        decode_message(encode({.node = 7, .self = good, .known = {no_port, good}}, at(1)), at(1));
+    REQUIRE(known);
+    CHECK(known->known.size() == 1);
+    node_message huge{.node = 7};
+    huge.loads.resize(20000);
+    CHECK_FALSE(decode_message(encode(huge, at(1)), at(1)));
+}
+
+// Guards against a datagram or state response that ends the process when it is cut or altered anywhere.
+TEST_CASE("node_message, bytes cut or altered at any place, are decoded or rejected") {
+    const node_info info{.name = "n", .ip = "10.0.0.1", .gossip_port = 7540, .front_address = "10.0.0.1:80"};
+    node_message it{.node = 7, .has_watermarks = true, .self = info, .known = {info}, .leaving = {3}};
+    it.loads.push_back({.upstream = 11, .report = load_snapshot{.running = 3, .at = at(980)}});
+    state_response state;
+    state[0].records.push_back({.key = "config", .offset = 3, .value = std::string(300, 'c')});
+    for (const auto& bytes : {encode(it, at(1000)), encode(state)}) {
+        for (std::size_t i = 0; i < bytes.size(); ++i) {
+            const auto cut = std::string_view(bytes).substr(0, i);
+            decode_message(cut, at(1000));
+            decode_state(cut);
+            for (const int mask : {1, 0x80, 0xff}) {
+                auto altered = bytes;
+                altered[i] = static_cast<char>(altered[i] ^ mask);
+                decode_message(altered, at(1000));
+                decode_state(altered);
+            }
+        }
+    }
+}
+
 // Guards against request smuggling: a request has both a Content-Length and a chunked body.
 TEST_CASE("message_parser, Content-Length and chunked encoding, is an error") {
     request_parser subject;
