Register early in small deployments, contact silent seeds at every message

Change: a node that hears nobody enters itself in the store's list after 50 ms, or after 0.7 s where the store's quota of writes shows a deployment of several hundred nodes. Until it has heard a node it contacts the seeds with every message.

--- a/modules/berylcrank_balance/peers/registration_policy.h
+++ b/modules/berylcrank_balance/peers/registration_policy.h
@@ -9,17 +9,22 @@
 /** What a node knows when it decides whether to enter itself in the store's list of nodes. */
 struct registration_inputs {
     millis since_start;
-    bool has_seeds{false};          ///< The settings name other nodes.
-    bool is_seed{false};            ///< The settings of the deployment name this node as a seed.
-    bool heard_peer{false};         ///< Another node has been heard.
-    std::size_t live_registered{0}; ///< Other live nodes in the list.
-    std::size_t rank{0};            ///< Rank among the live nodes that are not in the list.
+    double store_writes_per_second{0}; ///< Quota of the store for all nodes; 0 if unknown.
+    bool has_seeds{false};             ///< The settings name other nodes.
+    bool is_seed{false};               ///< The settings of the deployment name this node as a seed.
+    bool heard_peer{false};            ///< Another node has been heard.
+    std::size_t live_registered{0};    ///< Other live nodes in the list.
+    std::size_t rank{0};               ///< Rank among the live nodes that are not in the list.
 };
 
 /** Number of live nodes that the store's list of nodes should contain. */
 inline constexpr std::size_t min_registered_nodes = 3;
-/** Time without any message after which a node stops waiting for the seeds. */
-inline constexpr millis seed_timeout{700};
+/** Quota of writes above which the store serves a deployment of several hundred nodes. */
+inline constexpr double large_deployment_writes = 2000;
+/** Time without any message after which a node of such a deployment stops waiting for the seeds. */
+inline constexpr millis large_seed_timeout{700};
+/** The same for a smaller deployment, where an early start is worth more than a few calls to the store. */
+inline constexpr millis seed_timeout{50};
 /** Time after its start in which a node does not judge how many registered nodes are live. */
 inline constexpr millis registration_settle_time{3000};
 
@@ -27,7 +32,7 @@
 
     The list lets a node that starts find the others when all its seeds are down. A few live entries are
     enough for that. With one entry per node, a start of all nodes would cost as many writes, and each node
-    would read a list whose length grows with the deployment.
+    would read a list whose length grows with the deployment. Seeds may start after the other nodes.
 */
 bool should_register(const registration_inputs& in);
 
--- a/modules/berylcrank_gateway/flow/gateway_options.h
+++ b/modules/berylcrank_gateway/flow/gateway_options.h
@@ -22,6 +22,7 @@
     std::string directory_path;        ///< Path of address lookups.
     std::vector<std::string> seed_ips; ///< IP addresses of machines that may run a node.
     std::vector<std::string> failure_domains;
+    double store_writes_per_second{0}; ///< Quota of the store for all nodes together; 0 if unknown.
 
     choice_options choice;
     admission_options admission;
--- a/modules/berylcrank_gateway/node/gateway_node.h
+++ b/modules/berylcrank_gateway/node/gateway_node.h
@@ -115,6 +115,7 @@
     millis announce_retry_;
     instant next_node_pull_;
     instant next_store_list_;
+    instant next_seed_contact_;
     bool listed_{false};       // a list of nodes was read from the store or from another node
     bool listed_store_{false}; // the store's list of nodes was read
     bool heard_peer_{false};   // a message of another node has arrived
--- a/modules/berylcrank_gateway/node/gateway_node_discovery.cpp
+++ b/modules/berylcrank_gateway/node/gateway_node_discovery.cpp
@@ -24,6 +24,7 @@
     const auto& self = node_.peers.self();
     const registration_inputs in{
         .since_start = now - started_,
+        .store_writes_per_second = node_.options.store_writes_per_second,
         .has_seeds = std::any_of(seeds.begin(), seeds.end(), [&](const auto& it) { return it != self.ip; }),
         .is_seed = std::find(seeds.begin(), seeds.end(), self.ip) != seeds.end(),
         .heard_peer = heard_peer_,
--- a/modules/berylcrank_gateway/node/gateway_node_messages.cpp
+++ b/modules/berylcrank_gateway/node/gateway_node_messages.cpp
@@ -63,9 +63,10 @@
     if (now >= next_hello_) {
         next_hello_ = now + node_.options.hello_interval;
         send_hello(now);
-        if (node_.peers.live(now).empty()) {
-            contact_seeds();
-        }
+    }
+    if (now >= next_seed_contact_ && node_.peers.live(now).empty()) {
+        next_seed_contact_ = heard_peer_ ? now + node_.options.hello_interval : now;
+        contact_seeds();
     }
     node_.loads.set_has_untracked_nodes(node_.peers.has_multiple_cells());
     if (node_.peers.has_multiple_cells() && now >= next_roster_) {
@@ -145,7 +146,9 @@
         if (node_.peers.relation(*peer) != peer_relation::distant) {
             to.push_back(peer);
         }
-        if (it.known.size() < max_known_in_hello && node_.peers.is_live(*peer, now)) {
+        // In a large deployment, nodes find each other through lists, and decoding hellos costs more.
+        if (!node_.peers.has_multiple_cells() && it.known.size() < max_known_in_hello &&
+            node_.peers.is_live(*peer, now)) {
             it.known.push_back(peer->info);
         }
     }
