Let every node of a small deployment register at once

Change: both waits apply only where the store's quota of writes shows a deployment of several hundred nodes.

--- a/modules/berylcrank_balance/peers/registration_policy.h
+++ b/modules/berylcrank_balance/peers/registration_policy.h
@@ -22,17 +22,22 @@
 /** Quota of writes above which the store serves a deployment of several hundred nodes. */
 inline constexpr double large_deployment_writes = 2000;
 /** Time without any message after which a node of such a deployment stops waiting for the seeds. */
-inline constexpr millis large_seed_timeout{700};
-/** The same for a smaller deployment, where an early start is worth more than a few calls to the store. */
-inline constexpr millis seed_timeout{50};
+inline constexpr millis seed_timeout{700};
 /** Time after its start in which a node does not judge how many registered nodes are live. */
 inline constexpr millis registration_settle_time{3000};
 
+/** Returns whether the store's quota of writes is that of a deployment of several hundred nodes. */
+constexpr bool is_large_deployment(double store_writes_per_second) {
+    return store_writes_per_second > large_deployment_writes;
+}
+
 /** Returns whether a node enters itself in the store's list of nodes.
 
     The list lets a node that starts find the others when all its seeds are down. A few live entries are
     enough for that. With one entry per node, a start of all nodes would cost as many writes, and each node
-    would read a list whose length grows with the deployment. Seeds may start after the other nodes.
+    would read a list whose length grows with the deployment. In a small
+    deployment every node enters itself: seeds may start after the other nodes, and an early start is worth
+    more than a few calls to the store.
 */
 bool should_register(const registration_inputs& in);
 
--- a/modules/berylcrank_gateway/node/gateway_node.cpp
+++ b/modules/berylcrank_gateway/node/gateway_node.cpp
@@ -1,5 +1,7 @@
 #include "modules/berylcrank_gateway/node/gateway_node.h"
 
+#include "modules/berylcrank_balance/peers/registration_policy.h"
+
 #include <algorithm>
 
 namespace berylcrank {
@@ -61,7 +63,10 @@
     listen(options.directory_address, directory_handler_);
     listen(options.control_address, control_handler_);
     listen(options.self.ip + ':' + std::to_string(options.self.gossip_port), state_handler_);
-    node_.membership_valid_from = started_ + startup_settle_time;
+    if (is_large_deployment(options.store_writes_per_second)) {
+        // A node that knew few others would take itself for one of a small deployment.
+        node_.membership_valid_from = started_ + startup_settle_time;
+    }
     log_.line("started")
         .field("front", options.front_address)
         .field("failure_domain", options.self.failure_domain)
