--- a/modules/berylcrank_gateway/peers/node_message.cpp
+++ b/modules/berylcrank_gateway/peers/node_message.cpp
@@ -181,6 +181,22 @@
     }
 }
 
+void read_nodes(schema::NodeMessage::Reader it, node_message& result) {
+    result.roster.reserve(it.getRoster().size());
+    for (const auto entry : it.getRoster()) {
+        result.roster.push_back({.number = entry.getNode(),
+                                 .incarnation = entry.getIncarnation(),
+                                 .beat = entry.getBeat(),
+                                 .ready = entry.getReady(),
+                                 .blind = entry.getBlind()});
+    }
+    for (const auto info : it.getKnown()) {
+        if (auto node = read_info(info); is_valid(node)) {
+            result.known.push_back(std::move(node));
+        }
+    }
+}
+
 node_message read_message(schema::NodeMessage::Reader it, instant now) {
     node_message result{.node = it.getNode(),
                         .incarnation = it.getIncarnation(),
@@ -212,20 +228,19 @@
     if (it.hasSelf()) {
         result.self = read_info(it.getSelf());
     }
-    result.roster.reserve(it.getRoster().size());
-    for (const auto entry : it.getRoster()) {
-        result.roster.push_back({.number = entry.getNode(),
-                                 .incarnation = entry.getIncarnation(),
-                                 .beat = entry.getBeat(),
-                                 .ready = entry.getReady(),
-                                 .blind = entry.getBlind()});
+    read_nodes(it, result);
+    return result;
+}
+
+void write_lists(schema::NodeMessage::Builder to, const node_message& it) {
+    auto leaving = to.initLeaving(static_cast<unsigned>(it.leaving.size()));
+    for (unsigned i = 0; i < it.leaving.size(); ++i) {
+        leaving.set(i, it.leaving[i]);
     }
-    for (const auto info : it.getKnown()) {
-        if (auto node = read_info(info); is_valid(node)) {
-            result.known.push_back(std::move(node));
-        }
+    auto known = to.initKnown(static_cast<unsigned>(it.known.size()));
+    for (unsigned i = 0; i < it.known.size(); ++i) {
+        write(known[i], it.known[i]);
     }
-    return result;
 }
 
 } // namespace
@@ -267,17 +282,10 @@
         flights[i].setCount(clamped<std::uint16_t>(it.in_flight[i].count));
     }
     write(to.initWaiting(static_cast<unsigned>(it.waiting.size())), it.waiting);
-    auto leaving = to.initLeaving(static_cast<unsigned>(it.leaving.size()));
-    for (unsigned i = 0; i < it.leaving.size(); ++i) {
-        leaving.set(i, it.leaving[i]);
-    }
     if (it.self) {
         write(to.initSelf(), *it.self);
     }
-    auto known = to.initKnown(static_cast<unsigned>(it.known.size()));
-    for (unsigned i = 0; i < it.known.size(); ++i) {
-        write(known[i], it.known[i]);
-    }
+    write_lists(to, it);
     return packed(message);
 }
 
--- a/standins/platform_worker/worker.cpp
+++ b/standins/platform_worker/worker.cpp
@@ -81,22 +81,22 @@
                         "Content-Length: ", body.size(), "\r\n\r\n", body);
 }
 
+std::string worker::run_list() const {
+    std::string list;
+    for (const auto& [id, n] : runs_) {
+        absl::StrAppend(&list, id, " ", n, "\n");
+    }
+    return list;
+}
+
 void worker::handle_request(const connection_ptr& it, request_head head) {
     if (head.target.starts_with("/control")) {
         update_behaviour(head.target);
         send(it, response(head, 200, "", ""));
         return;
     }
-    if (head.target == "/runs") {
-        std::string list;
-        for (const auto& [id, n] : runs_) {
-            absl::StrAppend(&list, id, " ", n, "\n");
-        }
-        send(it, response(head, 200, "", list));
-        return;
-    }
-    if (head.target == "/received") {
-        send(it, response(head, 200, "", std::to_string(received_)));
+    if (head.target == "/runs" || head.target == "/received") {
+        send(it, response(head, 200, "", head.target == "/runs" ? run_list() : std::to_string(received_)));
         return;
     }
     ++received_;
@@ -114,16 +114,20 @@
         return;
     }
     if (behaviour_.mode == "shed" || static_cast<int>(waiting_.size()) >= behaviour_.queue) {
-        const auto wait = behaviour_.retry_after.empty()
-                              ? std::string()
-                              : absl::StrCat("Retry-After: ", behaviour_.retry_after, "\r\n");
-        send(it, response(head, 503, absl::StrCat("Not-Executed: 1\r\n", wait), ""));
+        shed(it, head);
         return;
     }
     waiting_.push_back({.from = it, .head = std::move(head)});
     start_next();
 }
 
+void worker::shed(const connection_ptr& it, const request_head& head) {
+    const auto wait = behaviour_.retry_after.empty()
+                          ? std::string()
+                          : absl::StrCat("Retry-After: ", behaviour_.retry_after, "\r\n");
+    send(it, response(head, 503, absl::StrCat("Not-Executed: 1\r\n", wait), ""));
+}
+
 void worker::start_next() {
     while (running_ < behaviour_.slots && !waiting_.empty()) {
         const auto it = waiting_.front();
@@ -166,6 +170,11 @@
         send(it.from, response(it.head, 500, signature, "failed"));
         return;
     }
+    finish_successfully(it, signature, body);
+}
+
+void worker::finish_successfully(const job& it, const std::string& signature, const std::string& body) {
+    const auto& mode = behaviour_.mode;
     const auto good = response(it.head, 200, signature, body);
     if (mode == "truncate") {
         send(it.from, good.substr(0, good.size() - 10), true);
--- a/standins/platform_worker/worker.h
+++ b/standins/platform_worker/worker.h
@@ -61,6 +61,9 @@
     void send(const connection_ptr& it, const std::string& bytes, bool close = false);
     void send_endlessly(const connection_ptr& it, const std::string& start, const std::string& repeated);
     void finish_endlessly(const job& it);
+    void finish_successfully(const job& it, const std::string& signature, const std::string& body);
+    void shed(const connection_ptr& it, const request_head& head);
+    [[nodiscard]] std::string run_list() const;
     void update_behaviour(const std::string& target);
     [[nodiscard]] std::string response(const request_head& head, int status, const std::string& more,
                                        const std::string& body) const;
