Do not close a connection that was just accepted when stopping

A stopping node closes idle connections every 0.5 s, also one that had just been accepted and whose first request was in its receive buffer.

Ruled out: a request that was read or run; the log and the upstreams name neither of the two.

Change: it closes connections that have had no request for 0.25 s.

--- a/modules/berylcrank_gateway/server/server_connection.cpp
+++ b/modules/berylcrank_gateway/server/server_connection.cpp
@@ -10,6 +10,10 @@
 // Shared by all connections, which one thread reads one at a time.
 std::array<char, 65536> read_buffer; // NOLINT(cppcoreguidelines-avoid-non-const-global-variables)
 
+// A stopping node closes a connection only after this time without a request: the first one of a connection
+// that was just accepted may be on its way.
+constexpr millis min_idle_time{250};
+
 constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
 
 } // namespace
@@ -226,7 +230,7 @@
         abort();
     } else if (reading_message_ && idle_time > limits.header_timeout && pipeline_.empty()) {
         reject(408);
-    } else if (idle() && (idle_time > limits.idle_timeout || close_idle)) {
+    } else if (idle() && (idle_time > limits.idle_timeout || (close_idle && idle_time >= min_idle_time))) {
         close_gracefully();
     }
 }
--- a/tests/gateway/server_connection_test.cpp
+++ b/tests/gateway/server_connection_test.cpp
@@ -147,4 +147,17 @@
     CHECK(has_whole_body(received));
 }
 
+// Guards against a connection that a stopping node closes before the first request has reached it.
+TEST_CASE_FIXTURE(listener_fixture,
+                  "http_listener, stops just after a caller has connected, answers its first request") {
+    handler.body = "x";
+    run_ready();
+    handler.is_closing = true;
+    run_ready();
+    CHECK(read_available() == boost::asio::error::would_block);
+    send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    read_available();
+    CHECK(received.starts_with("HTTP/1.1 200"));
+}
+
 } // namespace berylcrank
