Wait for events in the trouble tests, report what was skipped silently

Change: the tests wait for log lines, and the worker stand-in itself counts the requests of the time in which it asked for none. Skipped input is logged or shown in /metrics. node_state::apply_response reads the headers for both and ignores 421 responses (new case of gateway_test). max_live_count is max_known_count, which it has counted since the change of discovery.

--- a/modules/berylcrank_balance/peers/peer_table.cpp
+++ b/modules/berylcrank_balance/peers/peer_table.cpp
@@ -147,7 +147,7 @@
     if (!removed.empty()) {
         rebuild_cells();
     }
-    max_live_count_ = std::max(max_live_count_, peers_.size() + 1);
+    max_known_count_ = std::max(max_known_count_, peers_.size() + 1);
     return newly_silent;
 }
 
--- a/modules/berylcrank_balance/peers/peer_table.h
+++ b/modules/berylcrank_balance/peers/peer_table.h
@@ -171,7 +171,7 @@
 
     /** Returns the largest number of nodes that were known at once, including this one. Not all of a large
         deployment are heard at any moment. */
-    [[nodiscard]] std::size_t max_live_count() const { return max_live_count_; }
+    [[nodiscard]] std::size_t max_known_count() const { return max_known_count_; }
 
 private:
     [[nodiscard]] cell cell_of(const node_info& it, std::uint64_t number) const;
@@ -186,7 +186,7 @@
     absl::flat_hash_map<std::string, std::size_t> node_counts_; // by failure domain, including this node
     std::vector<std::uint64_t> cell_peers_; // numbers of the other nodes of this node's cell
     cell own_cell_;
-    std::size_t max_live_count_{1};
+    std::size_t max_known_count_{1};
 };
 
 } // namespace berylcrank
--- a/modules/berylcrank_balance/peers/registration_policy.h
+++ b/modules/berylcrank_balance/peers/registration_policy.h
@@ -33,11 +33,10 @@
 
 /** Returns whether a node enters itself in the store's list of nodes.
 
-    The list lets a node that starts find the others when all its seeds are down. A few live entries are
-    enough for that. With one entry per node, a start of all nodes would cost as many writes, and each node
-    would read a list whose length grows with the deployment. In a small
-    deployment every node enters itself: seeds may start after the other nodes, and an early start is worth
-    more than a few calls to the store.
+    The list lets a node that starts find the others when its seeds are down or start later. In a small
+    deployment every node enters itself, since an early start is worth more than a few calls to the store. In
+    a large one a few live entries are enough: with one per node, a start of all nodes would cost as many
+    writes, and each node would read a list whose length grows with the deployment.
 */
 bool should_register(const registration_inputs& in);
 
--- a/modules/berylcrank_gateway/flow/attempt.cpp
+++ b/modules/berylcrank_gateway/flow/attempt.cpp
@@ -48,21 +48,6 @@
     return is_unattributable || is_unsigned ? head_action::reject : head_action::accept;
 }
 
-void attempt::apply_upstream_state(const response_head& it, instant now) {
-    const auto& names = node_.wire.headers();
-    if (const auto* text = find_header(it.headers, names.load)) {
-        if (auto report = node_.wire.read_load(*text)) {
-            report->at = now;
-            node_.loads.report(target_->number, *report, true);
-            load = report;
-        }
-    }
-    node_.apply_leaving(*target_, it.headers, now);
-    if (it.status == 503) {
-        node_.apply_retry_after(*target_, it.headers, now);
-    }
-}
-
 head_action attempt::on_head(const response_head& it) {
     const auto now = node_.time.now();
     last_activity_ = now;
@@ -79,7 +64,7 @@
             .send();
         return action;
     }
-    apply_upstream_state(it, now);
+    load = node_.apply_response(*target_, it, now);
     head = it;
     has_head = true;
     not_run = it.status == 421 ||
--- a/modules/berylcrank_gateway/flow/attempt.h
+++ b/modules/berylcrank_gateway/flow/attempt.h
@@ -75,7 +75,6 @@
 private:
     /** Returns what to do with a response, by the request id and the signature that it carries. */
     [[nodiscard]] head_action classify(const response_head& it) const;
-    void apply_upstream_state(const response_head& it, instant now);
     void end(send_result result);
     void count_outcome(bool good, double weight);
 
--- a/modules/berylcrank_gateway/flow/node_state.cpp
+++ b/modules/berylcrank_gateway/flow/node_state.cpp
@@ -4,15 +4,46 @@
 
 namespace berylcrank {
 
+std::optional<load_snapshot> node_state::apply_response(upstream& it, const response_head& head,
+                                                        instant now) {
+    if (head.status == 421) {
+        return std::nullopt; // sent by another upstream, which has the address now
+    }
+    apply_leaving(it, head.headers, now);
+    if (head.status == 503) {
+        apply_retry_after(it, head.headers, now);
+    }
+    const auto* value = find_header(head.headers, wire.headers().load);
+    if (value == nullptr) {
+        return std::nullopt;
+    }
+    auto report = wire.read_load(*value);
+    if (!report) {
+        metrics.count_event("unreadable-load");
+        log.line("load-unreadable").field("upstream", it.entry.id).send();
+        return std::nullopt;
+    }
+    report->at = now;
+    loads.report(it.number, *report, true);
+    return report;
+}
+
 void node_state::apply_leaving(upstream& it, const header_list& headers, instant now) {
     const auto* value = find_header(headers, wire.headers().leaving);
-    if (value == nullptr || !wire.read_leaving(*value) || !upstreams.announce_leave(it)) {
+    if (value == nullptr || !wire.read_leaving(*value) || !mark_leaving(it)) {
         return;
     }
     announced_leaves.push_back(it.number);
     announced_leaves_until = now + leave_repeat_time;
+}
+
+bool node_state::mark_leaving(upstream& it) {
+    if (!upstreams.announce_leave(it)) {
+        return false;
+    }
     metrics.count_event("upstream-leaving");
     log.line("upstream-leaving").field("upstream", it.entry.id).send();
+    return true;
 }
 
 void node_state::apply_retry_after(upstream& it, const header_list& headers, instant now) {
@@ -28,6 +59,7 @@
     }
     if (malformed) {
         metrics.count_event("unreadable-retry-after");
+        log.line("retry-after-unreadable").field("upstream", it.entry.id).send();
     }
     if (longest <= millis{}) {
         return;
--- a/modules/berylcrank_gateway/flow/node_state.h
+++ b/modules/berylcrank_gateway/flow/node_state.h
@@ -100,9 +100,16 @@
         start.begin(now);
     }
 
+    /** Applies what the headers of an upstream's response say about the upstream: its load, its stop, and the
+        time for which a 503 response asks for no requests. Returns the load, if any. */
+    std::optional<load_snapshot> apply_response(upstream& it, const response_head& head, instant now);
+
     /** Stops sending to an upstream that announces its stop in the headers of a response. */
     void apply_leaving(upstream& it, const header_list& headers, instant now);
 
+    /** Stops sending to an upstream that announced its stop. Returns whether that is new. */
+    bool mark_leaving(upstream& it);
+
     /** Stops sending to an upstream for the time that the headers of its response state, if any. */
     void apply_retry_after(upstream& it, const header_list& headers, instant now);
 };
--- a/modules/berylcrank_gateway/flow/prober.cpp
+++ b/modules/berylcrank_gateway/flow/prober.cpp
@@ -97,16 +97,7 @@
         return;
     }
     node_.metrics.count_probe(result.head.status == 200 ? "healthy" : "unhealthy");
-    node_.apply_leaving(*it, result.head.headers, now);
-    if (result.head.status == 503) {
-        node_.apply_retry_after(*it, result.head.headers, now);
-    }
-    if (const auto* value = find_header(result.head.headers, names.load)) {
-        if (auto report = node_.wire.read_load(*value)) {
-            report->at = now;
-            node_.loads.report(it->number, *report, true);
-        }
-    }
+    node_.apply_response(*it, result.head, now);
     if (result.head.status != 200) {
         node_.loads.outcome(it->number, {.bad = unhealthy_weight}, now, false);
         return;
--- a/modules/berylcrank_gateway/flow/request_flow_retry.cpp
+++ b/modules/berylcrank_gateway/flow/request_flow_retry.cpp
@@ -54,7 +54,7 @@
         return;
     }
     const auto picked = pick(!state.unreachable && state.target_left >= state.duration);
-    if (!picked.it || !node_.budget(service_).take(node_.peers.max_live_count(), now)) {
+    if (!picked.it || !node_.budget(service_).take(node_.peers.max_known_count(), now)) {
         return;
     }
     node_.metrics.count_event("hedge");
@@ -88,7 +88,7 @@
         return;
     }
     const auto picked = pick();
-    if (!picked.it || (sent_count_ > 0 && !node_.budget(service_).take(node_.peers.max_live_count(), now))) {
+    if (!picked.it || (sent_count_ > 0 && !node_.budget(service_).take(node_.peers.max_known_count(), now))) {
         node_.metrics.count_event(picked.it ? "resend-denied" : "resend-no-room");
         fallback();
         return;
--- a/modules/berylcrank_gateway/node/gateway_node_discovery.cpp
+++ b/modules/berylcrank_gateway/node/gateway_node_discovery.cpp
@@ -79,13 +79,18 @@
 
 void gateway_node::list_nodes() {
     announcing_ = true;
-    store_.list_nodes([this](store_outcome outcome, const std::vector<node_info>& nodes) {
-        listed_store_ = outcome == store_outcome::ok;
-        next_store_list_ = time_.now() + list_interval;
-        listed_ = listed_ || listed_store_;
-        finish_announce_call(outcome);
-        learn_nodes(nodes);
-    });
+    store_.list_nodes(
+        [this](store_outcome outcome, const std::vector<node_info>& nodes, std::size_t unreadable) {
+            if (unreadable > 0) {
+                node_.metrics.count_event("unreadable-node");
+                log_.line("nodes-unreadable").field("count", static_cast<std::uint64_t>(unreadable)).send();
+            }
+            listed_store_ = outcome == store_outcome::ok;
+            next_store_list_ = time_.now() + list_interval;
+            listed_ = listed_ || listed_store_;
+            finish_announce_call(outcome);
+            learn_nodes(nodes);
+        });
 }
 
 void gateway_node::pull_nodes(instant now) {
--- a/modules/berylcrank_gateway/node/gateway_node_messages.cpp
+++ b/modules/berylcrank_gateway/node/gateway_node_messages.cpp
@@ -225,7 +225,7 @@
     node_.shares.update_demand(it.node, node_.peers.find(it.node)->info.failure_domain, it.waiting, now);
     for (const auto number : it.leaving) {
         if (const auto target = node_.upstreams.find(number)) {
-            node_.upstreams.announce_leave(*target);
+            node_.mark_leaving(*target);
         }
     }
     for (const auto& update : it.loads) {
--- a/modules/berylcrank_gateway/node/node_handlers.h
+++ b/modules/berylcrank_gateway/node/node_handlers.h
@@ -60,12 +60,16 @@
 /** Serves status and metrics to operators. */
 class control_handler final : public request_handler {
 public:
-    control_handler(node_state& node, const state_follower& follower) : node_(node), follower_(follower) {}
+    /** `unreadable_datagrams` returns the number of datagrams that could not be decoded so far. */
+    control_handler(node_state& node, const state_follower& follower,
+                    std::function<std::uint64_t()> unreadable_datagrams)
+        : node_(node), follower_(follower), unreadable_datagrams_(std::move(unreadable_datagrams)) {}
     void handle(const exchange_ptr& it) override;
 
 private:
     node_state& node_;
     const state_follower& follower_;
+    std::function<std::uint64_t()> unreadable_datagrams_;
 };
 
 } // namespace berylcrank
--- a/modules/berylcrank_gateway/state/metadata_store.h
+++ b/modules/berylcrank_gateway/state/metadata_store.h
@@ -39,7 +39,9 @@
 public:
     using read_handler = std::function<void(const store_read_result&)>;
     using done_handler = std::function<void(store_outcome)>;
-    using nodes_handler = std::function<void(store_outcome, const std::vector<node_info>&)>;
+    /** Receives the valid nodes and the number of entries that could not be parsed. */
+    using nodes_handler =
+        std::function<void(store_outcome, const std::vector<node_info>&, std::size_t unreadable)>;
 
     metadata_store() = default;
     metadata_store(const metadata_store&) = delete;
--- a/modules/berylcrank_gateway/state/state_follower.cpp
+++ b/modules/berylcrank_gateway/state/state_follower.cpp
@@ -104,6 +104,12 @@
         set_store_lost(true, source, response.outcome);
         return;
     }
+    if (response.unreadable > 0) {
+        log_.line("records-unreadable")
+            .field("source", source_name(source))
+            .field("count", static_cast<std::uint64_t>(response.unreadable))
+            .send();
+    }
     it.retry = millis{};
     it.next_try = now;
     set_store_lost(false, source, response.outcome);
--- a/standins/platform_worker/worker.cpp
+++ b/standins/platform_worker/worker.cpp
@@ -95,11 +95,12 @@
         send(it, response(head, 200, "", ""));
         return;
     }
-    if (head.target == "/runs" || head.target == "/received") {
-        send(it, response(head, 200, "", head.target == "/runs" ? run_list() : std::to_string(received_)));
+    if (head.target == "/runs" || head.target == "/received-in-pause") {
+        send(it, response(head, 200, "",
+                          head.target == "/runs" ? run_list() : std::to_string(received_in_pause_)));
         return;
     }
-    ++received_;
+    count_in_pause();
     const auto target = header(head, "Target-Instance");
     if (!target.empty() && target != behaviour_.id) {
         send(it, response(head, 421, absl::StrCat("Not-Executed: 1\r\nInstance-Id: ", behaviour_.id, "\r\n"),
@@ -121,11 +122,24 @@
     start_next();
 }
 
+void worker::count_in_pause() {
+    const auto now = std::chrono::steady_clock::now();
+    received_in_pause_ += now >= pause_from_ && now < pause_until_ ? 1 : 0;
+}
+
 void worker::shed(const connection_ptr& it, const request_head& head) {
-    const auto wait = behaviour_.retry_after.empty()
-                          ? std::string()
-                          : absl::StrCat("Retry-After: ", behaviour_.retry_after, "\r\n");
-    send(it, response(head, 503, absl::StrCat("Not-Executed: 1\r\n", wait), ""));
+    constexpr std::chrono::milliseconds pause_delay{500};
+    int seconds = 0;
+    if (!absl::SimpleAtoi(behaviour_.retry_after, &seconds)) {
+        send(it, response(head, 503, "Not-Executed: 1\r\n", ""));
+        return;
+    }
+    const auto now = std::chrono::steady_clock::now();
+    if (now >= pause_until_) {
+        pause_from_ = now + pause_delay;
+        pause_until_ = now + std::chrono::seconds(seconds);
+    }
+    send(it, response(head, 503, absl::StrCat("Not-Executed: 1\r\nRetry-After: ", seconds, "\r\n"), ""));
 }
 
 void worker::start_next() {
--- a/standins/platform_worker/worker.h
+++ b/standins/platform_worker/worker.h
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <deque>
 #include <functional>
 #include <map>
@@ -21,10 +22,11 @@
     int queue{8};    ///< Requests that wait for a slot; further ones are shed.
     int work_ms{10}; ///< Service time at a slowness of 100.
     std::size_t body_bytes{100};
-    int slowness{100};       ///< Service time in percent of `work_ms`; the fourth field of `Server-Load`.
-    int warm_up_ms{0};       ///< Value of `Warmup-Ms` in health check responses; 0 leaves the header out.
-    bool leaving{false};     ///< Announces its stop in all responses.
-    std::string retry_after; ///< Value of `Retry-After` in responses to shed requests; empty leaves it out.
+    int slowness{100};   ///< Service time in percent of `work_ms`; the fourth field of `Server-Load`.
+    int warm_up_ms{0};   ///< Value of `Warmup-Ms` in health check responses; 0 leaves the header out.
+    bool leaving{false}; ///< Announces its stop in all responses.
+    std::string
+        retry_after; ///< Whole seconds of `Retry-After` in responses to shed requests; empty leaves it out.
     /** good, shed, error, reset, truncate, unframed, unframed-reset, extra, late, late-unnamed, unsigned,
        mute, endless-head, endless-body, endless-chunk or endless-shed. */
     std::string mode{"good"};
@@ -34,7 +36,8 @@
 
     - `POST /control?mode=M&work=MS&slowness=N&warm-up=MS&bytes=N&leaving=1&retry-after=S`: changes its
       behaviour.
-    - `GET /received`: number of requests received, health checks included.
+    - `GET /received-in-pause`: number of requests received, health checks included, between half a second
+   after the first response with `Retry-After` and the end of the time that it stated.
     - `GET /runs`: lists `id count` for each request that it has started.
     - `GET /healthz`: the health check.
 */
@@ -64,6 +67,7 @@
     void finish_successfully(const job& it, const std::string& signature, const std::string& body);
     void shed(const connection_ptr& it, const request_head& head);
     [[nodiscard]] std::string run_list() const;
+    void count_in_pause();
     void update_behaviour(const std::string& target);
     [[nodiscard]] std::string response(const request_head& head, int status, const std::string& more,
                                        const std::string& body) const;
@@ -75,7 +79,9 @@
     std::deque<job> waiting_;
     int running_{0};
     std::map<std::string, int> runs_;
-    int received_{0};
+    int received_in_pause_{0};
+    std::chrono::steady_clock::time_point pause_from_;
+    std::chrono::steady_clock::time_point pause_until_;
 };
 
 } // namespace berylcrank::standin
--- a/tests/gateway/node_state_test.cpp
+++ b/tests/gateway/node_state_test.cpp
@@ -79,4 +79,29 @@
     CHECK(subject.announced_leaves_until == at(1000) + node_state::leave_repeat_time);
 }
 
+// A malformed load must not replace the last one, nor poison the mean of all upstreams.
+TEST_CASE_FIXTURE(node_state_fixture, "node_state, response with a malformed load, keeps the last one") {
+    const auto load = subject.apply_response(
+        target(), {.status = 200, .headers = {{"Server-Load", "2,1,4,300"}}}, at(1000));
+    REQUIRE(load);
+    CHECK(load->slowness == doctest::Approx(3));
+    const auto mean = subject.loads.mean_slowness();
+    CHECK_FALSE(subject.apply_response(target(), {.status = 200, .headers = {{"Server-Load", "2,1,4,nan"}}},
+                                       at(1100)));
+    CHECK(subject.loads.find(target().number)->report.at == at(1000));
+    CHECK(subject.loads.mean_slowness() == mean);
+    CHECK(target().paused_until == instant{});
+}
+
+// An upstream must not go out of use because another one, which has its address now, leaves.
+TEST_CASE_FIXTURE(node_state_fixture,
+                  "node_state, another upstream responds at the address, changes nothing") {
+    const header_list headers{{"Server-Leaving", "1"}, {"Server-Load", "4,8,4,400"}};
+    CHECK_FALSE(subject.apply_response(target(), {.status = 421, .headers = headers}, at(1000)));
+    CHECK(subject.upstreams.usable(target()));
+    CHECK(subject.loads.find(target().number) == nullptr);
+    CHECK(subject.apply_response(target(), {.status = 200, .headers = headers}, at(1000)));
+    CHECK_FALSE(subject.upstreams.usable(target()));
+}
+
 } // namespace berylcrank
--- a/tests/gateway/state_follower_test.cpp
+++ b/tests/gateway/state_follower_test.cpp
@@ -52,7 +52,7 @@
     }
 
     void announce(const node_info& /*self*/, done_handler done) override { done(store_outcome::ok); }
-    void list_nodes(nodes_handler done) override { done(store_outcome::ok, {}); }
+    void list_nodes(nodes_handler done) override { done(store_outcome::ok, {}, 0); }
     [[nodiscard]] std::uint64_t calls() const override { return call_count; }
 
     void run() {
--- a/tests/process/gateway_trouble_test.cpp
+++ b/tests/process/gateway_trouble_test.cpp
@@ -28,8 +28,8 @@
         return response.status == 200 ? response.header("Server-Signature") : "";
     }
 
-    static int received(const platform_worker& it) {
-        return std::stoi(send({.address = it.address, .path = "/received"}).body);
+    static int received_in_pause(const platform_worker& it) {
+        return std::stoi(send({.address = it.address, .path = "/received-in-pause"}).body);
     }
 
     // Resident memory of a process in KiB.
@@ -44,10 +44,6 @@
     }
 };
 
-void sleep_for(int ms) {
-    std::this_thread::sleep_for(std::chrono::milliseconds(ms));
-}
-
 } // namespace
 
 // Guards against new requests to an upstream that announces its stop in a response, at the node that received
@@ -56,9 +52,15 @@
                   "gateway, upstream announces its stop in a response, no node uses it any more") {
     auto& leaving = *subject.workers_of("lookups")[0];
     subject.configure_worker(leaving, "leaving=1");
-    node().process->wait_line("\"event\":\"upstream-leaving\",\"upstream\":\"" + leaving.id);
-    sleep_for(300); // Messages to other nodes leave every 50 ms; the platform allows 2 s.
+    for (const auto& it : subject.nodes()) {
+        it.process->wait_line("\"event\":\"upstream-leaving\",\"upstream\":\"" + leaving.id, 2000);
+    }
     subject.put_worker_record(leaving, "ready", 7);
+    const auto& later = *subject.workers_of("files")[0]; // Its record follows the other one.
+    subject.put_worker_record(later, "draining", 2);
+    for (const auto& it : subject.nodes()) {
+        it.process->wait_line("\"address\":\"" + later.address + "\",\"draining\":true");
+    }
     for (int n = 0; n < 20; ++n) {
         CHECK(served_by(0) == "i-lookups1");
         CHECK(served_by(1) == "i-lookups1");
@@ -72,17 +74,20 @@
     auto& paused = *subject.workers_of("lookups")[0];
     subject.stop_and_remove(1);
     subject.configure_worker(paused, "mode=shed&retry-after=3");
-    for (int n = 0; n < 12; ++n) {
-        lookup();
-    }
-    node().process->wait_line("\"upstream-paused\"");
-    sleep_for(500);
-    const int before = received(paused);
-    for (int n = 0; n < 40; ++n) {
+    wait_until("the upstream has asked for a pause", [&] {
         CHECK(lookup().status == 200);
-        sleep_for(40);
-    }
-    CHECK(received(paused) - before <= 2);
+        const auto metrics = send({.address = node().control, .path = "/metrics"}).body;
+        return metrics.find("upstream-paused") != std::string::npos;
+    });
+    subject.configure_worker(paused, "mode=good");
+    const auto start = std::chrono::steady_clock::now();
+    wait_until("the upstream is used again", [&] {
+        const auto response = lookup();
+        CHECK(response.status == 200);
+        return response.header("Server-Signature") == paused.id;
+    });
+    CHECK(std::chrono::steady_clock::now() - start > std::chrono::milliseconds(2500));
+    CHECK(received_in_pause(paused) <= 2);
 }
 
 // Guards against callers that wait although every upstream has asked for a pause that is longer than they can
