Test endless health checks, silent orders, SIGHUP and a second stop signal

Change: four cases of gateway_trouble_test and a fault of the worker stand-in. No change of the program.

--- a/standins/platform_worker/worker.cpp
+++ b/standins/platform_worker/worker.cpp
@@ -107,6 +107,10 @@
                           ""));
         return;
     }
+    if (head.target == "/healthz" && behaviour_.mode == "endless-health") {
+        send_endlessly(it, "HTTP/1.1 200 OK\r\n\r\n", "x");
+        return;
+    }
     if (head.target == "/healthz") {
         const auto cold = behaviour_.warm_up_ms > 0
                               ? absl::StrCat("Warmup-Ms: ", behaviour_.warm_up_ms, "\r\n")
@@ -171,7 +175,7 @@
     if (mode == "mute") {
         return;
     }
-    if (mode.starts_with("endless")) {
+    if (mode.starts_with("endless") && mode != "endless-health") {
         finish_endlessly(it);
         return;
     }
--- a/standins/platform_worker/worker.h
+++ b/standins/platform_worker/worker.h
@@ -28,7 +28,7 @@
     std::string
         retry_after; ///< Whole seconds of `Retry-After` in responses to shed requests; empty leaves it out.
     /** good, shed, error, reset, truncate, unframed, unframed-reset, extra, late, late-unnamed, unsigned,
-       mute, endless-head, endless-body, endless-chunk or endless-shed. */
+       mute, endless-head, endless-body, endless-chunk, endless-shed or endless-health. */
     std::string mode{"good"};
 };
 
--- a/tests/process/gateway_trouble_test.cpp
+++ b/tests/process/gateway_trouble_test.cpp
@@ -1,4 +1,5 @@
 #include "tests/support/platform_deployment.h"
+#include "tests/support/raw_socket.h"
 
 #include <atomic>
 #include <chrono>
@@ -145,6 +146,82 @@
     }
 }
 
+// Guards against health checks whose response never ends and takes the memory of the node that asked for it.
+TEST_CASE_FIXTURE(gateway_trouble_fixture,
+                  "gateway, health check responds without end, memory stays bounded and lookups succeed") {
+    const auto process = node().process->id();
+    const auto before = resident_kib(process);
+    for (const auto* worker : subject.workers_of("lookups")) {
+        subject.configure_worker(*worker, "mode=endless-health");
+    }
+    wait_until("probes have failed", [&] {
+        CHECK(lookup().status == 200);
+        return send({.address = node().control, .path = "/metrics"}).body.find("result=\"failed\"") !=
+               std::string::npos;
+    });
+    for (int n = 0; n < 100; ++n) {
+        CHECK(lookup().status == 200);
+    }
+    CHECK(resident_kib(process) - before < 16384);
+}
+
+// Guards against an order that is kept for ever because its caller has left and its upstream stays silent.
+TEST_CASE_FIXTURE(gateway_trouble_fixture,
+                  "gateway, caller of an order leaves and the upstream is silent, ends it at the deadline") {
+    for (const auto* worker : subject.workers_of("orders")) {
+        subject.configure_worker(*worker, "mode=mute");
+    }
+    auto connection = raw_connection::to(node().front);
+    REQUIRE(connection.send("POST /o/a HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: left-1\r\n"
+                            "Request-Timeout-Ms: 800\r\nContent-Length: 1\r\n\r\nx"));
+    wait_until("the order runs", [&] { return subject.execution_count("left-1") == 1; });
+    connection.close();
+    node().process->wait_line("\"event\":\"caller-left\",\"request\":\"left-1\"");
+    node().process->wait_line("\"event\":\"answered\",\"request\":\"left-1\"", 3000);
+    CHECK(subject.execution_count("left-1") == 1);
+}
+
+// Guards against a process that ends, or forgets its settings, when the changed settings file is unusable.
+TEST_CASE_FIXTURE(gateway_trouble_fixture, "gateway, unusable settings on SIGHUP, keeps serving") {
+    const std::string failure = "\"event\":\"reload-failed\"";
+    int reloads = 0;
+    for (const auto& text : {std::string(), std::string("\xff\n=\n===\n"), std::string(1000000, 'x'),
+                             std::string("node-name=n\nip=1\ninternal-ports=99999999999999999999\n")}) {
+        std::ofstream(node().settings_path) << text;
+        node().process->send(SIGHUP);
+        ++reloads;
+        wait_until("the reload has failed", [&] {
+            CHECK(lookup().status == 200);
+            node().process->wait_line("\"event\":\"answered\",\"request\":\"t-" + std::to_string(ids));
+            const auto& output = node().process->output();
+            int failed = 0;
+            for (auto at = output.find(failure); at != std::string::npos; at = output.find(failure, at + 1)) {
+                ++failed;
+            }
+            return failed == reloads;
+        });
+    }
+}
+
+// Guards against a second stop signal that cuts off what the first one lets finish.
+TEST_CASE_FIXTURE(gateway_trouble_fixture, "gateway, stopped twice while a request runs, responds to it") {
+    for (const auto* worker : subject.workers_of("orders")) {
+        subject.configure_worker(*worker, "work=700");
+    }
+    const auto& stopping = node();
+    auto connection = raw_connection::to(stopping.front);
+    REQUIRE(connection.send("POST /o/a HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: twice-1\r\n"
+                            "Content-Length: 1\r\n\r\nx"));
+    wait_until("the order runs", [&] { return subject.execution_count("twice-1") == 1; });
+    stopping.process->send(SIGTERM);
+    stopping.process->wait_line("\"event\":\"stopping\"");
+    stopping.process->send(SIGTERM);
+    stopping.process->send(SIGINT);
+    CHECK(connection.read_message().starts_with("HTTP/1.1 200"));
+    CHECK(stopping.process->wait_exit(7000) == 0);
+    CHECK(subject.execution_count("twice-1") == 1);
+}
+
 // Guards against a node that ends, or stops following the registrations, because of one odd record.
 TEST_CASE_FIXTURE(gateway_trouble_fixture,
                   "gateway, odd registrations and node records, keeps running and following") {
