--- a/modules/berylcrank_gateway/flow/node_state.cpp
+++ b/modules/berylcrank_gateway/flow/node_state.cpp
@@ -1,9 +1,16 @@
 #include "modules/berylcrank_gateway/flow/node_state.h"
 
+#include <absl/strings/numbers.h>
 #include <algorithm>
 
 namespace berylcrank {
 
+namespace {
+
+constexpr millis max_warm_up{86400000}; // longer times are malformed
+
+} // namespace
+
 std::optional<load_snapshot> node_state::apply_response(upstream& it, const response_head& head,
                                                         instant now) {
     if (head.status == 421) {
@@ -37,6 +44,19 @@
     announced_leaves_until = now + leave_repeat_time;
 }
 
+void node_state::apply_warm_up(upstream& it, const header_list& headers, instant sent, instant now) {
+    const auto* value = find_header(headers, wire.headers().warm_up_left);
+    double ms = 0;
+    if (value != nullptr && (!absl::SimpleAtod(*value, &ms) || !(ms >= 0 && ms <= max_warm_up.value()))) {
+        metrics.count_event("unreadable-warm-up");
+        log.line("warm-up-unreadable").field("upstream", it.entry.id).send();
+        return;
+    }
+    if (sent >= it.cold_updated_at) {
+        upstream_directory::set_cold(it, millis::from_value(ms), now);
+    }
+}
+
 bool node_state::mark_leaving(upstream& it) {
     if (!upstreams.announce_leave(it)) {
         return false;
--- a/modules/berylcrank_gateway/flow/node_state.h
+++ b/modules/berylcrank_gateway/flow/node_state.h
@@ -107,6 +107,10 @@
     /** Stops sending to an upstream that announces its stop in the headers of a response. */
     void apply_leaving(upstream& it, const header_list& headers, instant now);
 
+    /** Applies the remaining warm-up time in the headers of a health check that was sent at `sent`; an
+       upstream that states none is warm. A malformed time changes nothing. */
+    void apply_warm_up(upstream& it, const header_list& headers, instant sent, instant now);
+
     /** Stops sending to an upstream that announced its stop. Returns whether that is new. */
     bool mark_leaving(upstream& it);
 
--- a/modules/berylcrank_gateway/flow/prober.cpp
+++ b/modules/berylcrank_gateway/flow/prober.cpp
@@ -1,6 +1,5 @@
 #include "modules/berylcrank_gateway/flow/prober.h"
 
-#include <absl/strings/numbers.h>
 #include <algorithm>
 
 namespace berylcrank {
@@ -9,7 +8,6 @@
 
 constexpr std::size_t max_health_body = 65536; // bytes
 constexpr double unhealthy_weight = 0.3; // in the failure share; low because a health check can be wrong
-constexpr millis max_warm_up{86400000};  // longer times are malformed
 constexpr int down_factor = 4;           // on the probe interval of an unreachable upstream
 constexpr int spill_factor = 4; // on the probe interval of an upstream that its own cell probes as well
 constexpr millis spill_probe_time{
@@ -88,7 +86,6 @@
     state.running = false;
     next_check_ = std::min(next_check_, state.next);
     const auto now = node_.time.now();
-    const auto& names = node_.wire.headers();
     if (!result.has_response || result.head.status == 421) {
         node_.metrics.count_probe(result.has_response ? "other-upstream"
                                   : result.timed_out  ? "timed-out"
@@ -103,15 +100,7 @@
         return;
     }
     node_.loads.reachable(it->number);
-    const auto* cold = find_header(result.head.headers, names.warm_up_left);
-    double ms = 0;
-    if (cold != nullptr && (!absl::SimpleAtod(*cold, &ms) || !(ms >= 0 && ms <= max_warm_up.value()))) {
-        ms = 0;
-        node_.metrics.count_event("unreadable-warm-up");
-    }
-    if (sent >= it->cold_updated_at) {
-        upstream_directory::set_cold(*it, millis::from_value(ms), now);
-    }
+    node_.apply_warm_up(*it, result.head.headers, sent, now);
 }
 
 } // namespace berylcrank
--- a/modules/berylcrank_gateway/node/gateway_node.cpp
+++ b/modules/berylcrank_gateway/node/gateway_node.cpp
@@ -157,7 +157,7 @@
             reader_rank_ = node_.peers.reader_rank(follower_.store_lost(), now);
         }
         follower_.tick(reader_rank_, now);
-    } else if (listed_ || now - started_ > max_node_list_wait) {
+    } else if (has_node_list_ || now - started_ > max_node_list_wait) {
         follower_.tick(node_.peers.rank_among_known(), now);
     }
 }
--- a/modules/berylcrank_gateway/node/gateway_node.h
+++ b/modules/berylcrank_gateway/node/gateway_node.h
@@ -59,7 +59,7 @@
     void on_peer_heard(instant now);
     void announce();
     void list_nodes();
-    void finish_announce_call(store_outcome outcome);
+    void finish_store_call(store_outcome outcome);
     void pull_nodes(instant now);
     void learn_nodes(const std::vector<node_info>& nodes);
     void exchange_messages(instant now);
@@ -110,17 +110,17 @@
     std::uint64_t last_sent_read_{0}; // number of the last own read that was sent to the other nodes
     std::uint64_t behind_peer_{0};    // node with newer state; 0 if there is none
     std::uint32_t heartbeat_{0};
-    instant next_announce_;
+    instant next_store_call_;
     instant last_tick_;
     instant stop_started_;
-    millis announce_retry_;
+    millis store_call_retry_;
     instant next_node_pull_;
     instant next_store_list_;
     instant next_seed_contact_;
-    bool listed_{false};       // a list of nodes was read from the store or from another node
-    bool listed_store_{false}; // the store's list of nodes was read
-    bool heard_peer_{false};   // a message of another node has arrived
-    bool announcing_{false};
+    bool has_node_list_{false};  // a list of nodes was read from the store or from another node
+    bool has_store_list_{false}; // the store's list of nodes was read
+    bool heard_peer_{false};     // a message of another node has arrived
+    bool store_call_pending_{false};
     bool pulling_{false};
     bool stopping_{false};
     bool was_ready_{false};
--- a/modules/berylcrank_gateway/node/gateway_node_discovery.cpp
+++ b/modules/berylcrank_gateway/node/gateway_node_discovery.cpp
@@ -8,8 +8,8 @@
 namespace {
 
 constexpr std::size_t max_distant_hellos = 5; // nodes of other failure domains that a new node contacts
-constexpr millis first_announce_retry{300};
-constexpr millis max_announce_retry{2000};
+constexpr millis first_store_call_retry{300};
+constexpr millis max_store_call_retry{2000};
 constexpr millis registration_check_interval{500}; // of a node that has heard others
 constexpr millis node_list_timeout{900};           // of a request for the list of another node
 // A node asks for the list of another one a short time after it has heard it, when all nodes start together
@@ -34,18 +34,18 @@
 }
 
 void gateway_node::discover(instant now) {
-    if (!announcing_ && now >= next_announce_) {
+    if (!store_call_pending_ && now >= next_store_call_) {
         if (!node_.peers.self().registered && registration_due(now)) {
             announce();
-        } else if (node_.peers.self().registered && !listed_store_) {
+        } else if (node_.peers.self().registered && !has_store_list_) {
             list_nodes();
         } else if (heard_peer_) {
-            next_announce_ = now + registration_check_interval;
+            next_store_call_ = now + registration_check_interval;
         }
     }
-    if (listed_store_ && now >= next_store_list_) {
+    if (has_store_list_ && now >= next_store_list_) {
         next_store_list_ = now + list_interval;
-        listed_store_ = node_.peers.has_live(now); // alone: the other nodes may have new addresses
+        has_store_list_ = node_.peers.has_live(now); // alone: the other nodes may have new addresses
     }
     if (heard_peer_ && now >= next_node_pull_) {
         next_node_pull_ = now + list_interval * (1 + node_.random.unit());
@@ -61,34 +61,34 @@
     next_node_pull_ = now + first_list_delay + first_list_spread * node_.random.unit();
 }
 
-void gateway_node::finish_announce_call(store_outcome outcome) {
-    announcing_ = false;
+void gateway_node::finish_store_call(store_outcome outcome) {
+    store_call_pending_ = false;
     if (outcome != store_outcome::ok) {
-        announce_retry_ = std::clamp(announce_retry_ * 2, first_announce_retry, max_announce_retry);
-        next_announce_ = time_.now() + announce_retry_;
+        store_call_retry_ = std::clamp(store_call_retry_ * 2, first_store_call_retry, max_store_call_retry);
+        next_store_call_ = time_.now() + store_call_retry_;
     }
 }
 
 void gateway_node::announce() {
-    announcing_ = true;
+    store_call_pending_ = true;
     store_.announce(node_.peers.self(), [this](store_outcome outcome) {
         node_.peers.set_registered(outcome == store_outcome::ok);
-        finish_announce_call(outcome);
+        finish_store_call(outcome);
     });
 }
 
 void gateway_node::list_nodes() {
-    announcing_ = true;
+    store_call_pending_ = true;
     store_.list_nodes(
         [this](store_outcome outcome, const std::vector<node_info>& nodes, std::size_t unreadable) {
             if (unreadable > 0) {
                 node_.metrics.count_event("unreadable-node");
                 log_.line("nodes-unreadable").field("count", static_cast<std::uint64_t>(unreadable)).send();
             }
-            listed_store_ = outcome == store_outcome::ok;
+            has_store_list_ = outcome == store_outcome::ok;
             next_store_list_ = time_.now() + list_interval;
-            listed_ = listed_ || listed_store_;
-            finish_announce_call(outcome);
+            has_node_list_ = has_node_list_ || has_store_list_;
+            finish_store_call(outcome);
             learn_nodes(nodes);
         });
 }
@@ -106,12 +106,12 @@
             result.has_response && result.head.status == 200 ? decode_nodes(result.body) : std::nullopt;
         if (!nodes) {
             node_.metrics.count_event("node-list-failed");
-            if (!listed_) {
+            if (!has_node_list_) {
                 next_node_pull_ = time_.now();
             }
             return;
         }
-        listed_ = true;
+        has_node_list_ = true;
         learn_nodes(*nodes);
     });
 }
--- a/tests/gateway/node_state_test.cpp
+++ b/tests/gateway/node_state_test.cpp
@@ -104,4 +104,19 @@
     CHECK_FALSE(subject.upstreams.usable(target()));
 }
 
+// A cold upstream must not count as warm because the time that it states cannot be read.
+TEST_CASE_FIXTURE(node_state_fixture, "node_state, malformed warm-up time, the upstream stays cold") {
+    for (const auto* text : {"nan", "-1", "1e300", "soon", ""}) {
+        CAPTURE(text);
+        subject.apply_warm_up(target(), {{"Warmup-Ms", text}}, at(1000), at(1010));
+        CHECK(target().cold_until == at(60000));
+    }
+    subject.apply_warm_up(target(), {{"Warmup-Ms", "500"}}, at(1000), at(1010));
+    CHECK(target().cold_until == at(1510));
+    subject.apply_warm_up(target(), {}, at(1005), at(1020)); // Sent before the last update.
+    CHECK(target().cold_until == at(1510));
+    subject.apply_warm_up(target(), {}, at(1010), at(1020));
+    CHECK(target().cold_until == at(1020));
+}
+
 } // namespace berylcrank
