--- a/review/common/kit.py
+++ b/review/common/kit.py
@@ -13,6 +13,7 @@
 import signal
 import socket
 import struct
+import subprocess
 import sys
 import tempfile
 import time
@@ -379,8 +380,8 @@
         self.log = open(os.path.join(folder, self.name + ".log"), "wb")
         environment = {"PATH": os.environ.get("PATH", ""), "HOME": folder, "LANG": "C.UTF-8",
                        "BERYLCRANK_CONFIG": settings}
-        self.process = await asyncio.create_subprocess_exec(
-            PROGRAM, "gateway", cwd=ROOT, env=environment, stdout=self.log, stderr=self.log)
+        self.process = subprocess.Popen([PROGRAM, "gateway"], cwd=ROOT, env=environment, stdin=subprocess.DEVNULL,
+                                        stdout=self.log, stderr=self.log)
 
     def signal(self, number):
         self.deployment.record.line("%s gets %s" % (self.name, signal.Signals(number).name))
@@ -460,14 +461,13 @@
 
     async def stop(self):
         for node in self.nodes:
-            if node.process is not None and node.process.returncode is not None:
-                self.record.line("%s ended by itself: %d" % (node.name, node.process.returncode))
-            if node.process is not None and node.process.returncode is None:
-                try:
-                    node.process.kill()
-                except ProcessLookupError:
-                    pass
-                await node.process.wait()
+            if node.process is None:
+                continue
+            if node.process.poll() is not None:
+                self.record.line("%s had ended with %d" % (node.name, node.process.returncode))
+            else:
+                node.process.kill()
+                node.process.wait()
         for worker in self.workers:
             if worker.beats:
                 worker.stop()
