--- a/review/common/kit.py
+++ b/review/common/kit.py
@@ -242,9 +242,17 @@
 
     def register(self):
         self.sequence += 1
-        self.store.put_json("keyed.servers", self.id, {
-            "service": self.service, "address": "127.0.0.1:%d" % self.port, "zone": "north", "version": "v1",
-            "slots": self.slots, "state": "ready", "warmup-left-s": 0, "sequence": self.sequence, "born": self.born})
+        self.store.put_json("keyed.servers", self.id, self.entry())
+
+    def entry(self):
+        return {"service": self.service, "address": "127.0.0.1:%d" % self.port, "zone": "north", "version": "v1",
+                "slots": self.slots, "state": "ready", "warmup-left-s": 0, "sequence": self.sequence,
+                "born": self.born}
+
+    @staticmethod
+    def health():
+        """Further fields of the health answers."""
+        return []
 
     def load(self):
         return "%d,%d,%d,100" % (self.running, self.waiting, self.slots)
@@ -286,7 +294,7 @@
         if fields.get("target-instance", self.id) != self.id:
             writer.write(http("HTTP/1.1 421 Misdirected", base + [("Not-Executed", "1")]))
         elif target == "/healthz":
-            writer.write(http("HTTP/1.1 200 OK", base + [("Instance-Id", self.id)]))
+            writer.write(http("HTTP/1.1 200 OK", base + [("Instance-Id", self.id)] + self.health()))
         elif not rid:
             writer.write(http("HTTP/1.1 400 Bad", base + [("Not-Executed", "1")]))
         elif self.running + self.waiting >= self.slots + self.queue:
@@ -425,12 +433,12 @@
         self.workers, self.nodes = [], []
         self.services = []
 
-    async def start(self, routes, nodes=2):
+    async def start(self, routes, nodes=2, warmup_per_s=26):
         await self.store.start()
         names = sorted({it["service"] for it in routes})
         config = {"version": "00000001",
                   "services": [{"name": it, "health-path": "/healthz", "max-conns": 220, "warmup-s": 3,
-                                "warmup-per-s": 26} for it in names],
+                                "warmup-per-s": warmup_per_s} for it in names],
                   "limits": {"max-header-bytes": 16384, "max-body-bytes": 1048576, "header-timeout-s": 3,
                              "idle-timeout-s": 15},
                   "virtual-hosts": [{"host": HOST, "paths": routes}]}
