Log attempts that are cancelled or cut off by the exit of the process

Cause: an attempt whose response never arrives leaves only its line "sent", so the logs cannot tell an upstream that is silent from a connection that is not read.

Change: attempt-cancelled and attempt-cut-off say what the connection waits for (connecting, reading, paused, closed), whether it carried an earlier call, and how many bytes of the body arrived.

--- a/modules/berylcrank_gateway/client/client_connection.cpp
+++ b/modules/berylcrank_gateway/client/client_connection.cpp
@@ -48,6 +48,7 @@
 
 void client_connection::call(std::string request, response_sink& sink, bool no_body) {
     sink_ = &sink;
+    ++calls_;
     request_ = std::move(request);
     no_body_ = no_body;
     head_delivered_ = false;
@@ -104,6 +105,10 @@
     });
 }
 
+std::string_view client_connection::activity() const {
+    return closed_ ? "closed" : !connected_ ? "connecting" : paused_ ? "paused" : "reading";
+}
+
 void client_connection::pause_reading(bool pause) {
     paused_ = pause;
     wait_for_bytes();
--- a/modules/berylcrank_gateway/client/client_connection.h
+++ b/modules/berylcrank_gateway/client/client_connection.h
@@ -75,6 +75,10 @@
     [[nodiscard]] bool idle() const { return connected_ && sink_ == nullptr && !closed_; }
     [[nodiscard]] bool closed() const { return closed_; }
     [[nodiscard]] bool connected() const { return connected_; }
+    /** Returns true if the connection has carried an earlier call. */
+    [[nodiscard]] bool reused() const { return calls_ > 1; }
+    /** Returns what the connection waits for, as text for logs. */
+    [[nodiscard]] std::string_view activity() const;
     /** Text of the error that ended the connection, for logs; empty if there was none. */
     [[nodiscard]] const std::string& error() const { return error_; }
     /** When the last response ended. */
@@ -105,6 +109,7 @@
     std::string error_;
     instant idle_since_;
     millis keep_alive_;
+    std::uint64_t calls_{0};
     bool connected_{false};
     bool closed_{false};
     bool waiting_{false};
--- a/modules/berylcrank_gateway/flow/attempt.cpp
+++ b/modules/berylcrank_gateway/flow/attempt.cpp
@@ -129,10 +129,22 @@
     if (ended_) {
         return;
     }
+    log_unfinished("attempt-cancelled");
     connection_->cancel();
     end(send_result::unknown);
 }
 
+void attempt::log_unfinished(std::string_view event) const {
+    node_.log.line(event)
+        .field("request", request_id_)
+        .field("upstream", target_->entry.id)
+        .field("running_ms", (node_.time.now() - started_).count())
+        .field("received", static_cast<std::uint64_t>(received_))
+        .field("connection", connection_ ? connection_->activity() : "none")
+        .field("reused", connection_ && connection_->reused())
+        .send();
+}
+
 void attempt::end(send_result result) {
     if (ended_) {
         return;
--- a/modules/berylcrank_gateway/flow/attempt.h
+++ b/modules/berylcrank_gateway/flow/attempt.h
@@ -42,6 +42,9 @@
     /** Sends the serialized request. */
     void start(std::string request, bool no_body);
 
+    /** Logs an attempt that has not ended, with what its connection waits for. */
+    void log_unfinished(std::string_view event) const;
+
     /** Detaches the owner, closes the connection and ends the attempt with send_result::unknown. */
     void cancel();
 
--- a/modules/berylcrank_gateway/flow/gateway.cpp
+++ b/modules/berylcrank_gateway/flow/gateway.cpp
@@ -151,6 +151,12 @@
     return it == rates_.end() ? 0 : static_cast<int>(std::lround(it->second.arrivals_per_second));
 }
 
+void gateway::log_unfinished() const {
+    for (const auto& [number, it] : flows_) {
+        it->log_unfinished();
+    }
+}
+
 void gateway::remove_flow(std::uint64_t number) {
     const auto it = flows_.find(number);
     if (it != flows_.end()) {
--- a/modules/berylcrank_gateway/flow/gateway.h
+++ b/modules/berylcrank_gateway/flow/gateway.h
@@ -25,6 +25,9 @@
         periodically. */
     void tick(instant now);
 
+    /** Logs the requests without a complete response. Call this before the process exits. */
+    void log_unfinished() const;
+
     /** Number of requests without a complete response. */
     [[nodiscard]] std::size_t active() const { return flows_.size(); }
 
--- a/modules/berylcrank_gateway/flow/request_flow.h
+++ b/modules/berylcrank_gateway/flow/request_flow.h
@@ -37,6 +37,9 @@
     /** Ends attempts and responses whose time is up. Call this periodically. */
     void check_timeouts(instant now);
 
+    /** Logs the attempts that have not ended when the process exits. */
+    void log_unfinished() const;
+
     void on_progress(attempt& it) override;
     void on_end(attempt& it) override;
 
--- a/modules/berylcrank_gateway/flow/request_flow_end.cpp
+++ b/modules/berylcrank_gateway/flow/request_flow_end.cpp
@@ -94,6 +94,14 @@
     }
 }
 
+void request_flow::log_unfinished() const {
+    for (const auto& it : attempts_) {
+        if (!it->ended()) {
+            it->log_unfinished("attempt-cut-off");
+        }
+    }
+}
+
 void request_flow::on_caller_disconnected() {
     if (done_) {
         return;
--- a/modules/berylcrank_gateway/node/gateway_node.cpp
+++ b/modules/berylcrank_gateway/node/gateway_node.cpp
@@ -192,6 +192,7 @@
             .field("after_ms", passed.count())
             .field("active", static_cast<std::uint64_t>(gateway_.active()))
             .send();
+        gateway_.log_unfinished();
         log_.flush();
         io_.stop();
     }
