End the pause of reading with the call that it belongs to

Cause: the pause that a slow caller causes was a state of the connection. When the same read completed the response, the connection went back to the pool with reading paused. Its exchange had ended, so nothing resumed it, and the response to the next request on it was never read.

Ruled out: a wait for input that is lost would say "reading"; a response that is read and not written would have a line attempt-ended.

Change: the receiver, the pause and whether the head has arrived are one object that ends with the call, so a connection without a call cannot be paused. The handler that resumes is bound to its call. An order whose caller leaves resumes its upstream.

--- a/modules/berylcrank_gateway/client/client_connection.cpp
+++ b/modules/berylcrank_gateway/client/client_connection.cpp
@@ -47,12 +47,8 @@
 }
 
 void client_connection::call(std::string request, response_sink& sink, bool no_body) {
-    sink_ = &sink;
-    ++calls_;
+    call_ = call_state{.sink = &sink, .number = ++calls_, .no_body = no_body};
     request_ = std::move(request);
-    no_body_ = no_body;
-    head_delivered_ = false;
-    sent_ = false;
     parser_.reset();
     if (connected_) {
         send();
@@ -85,7 +81,6 @@
 }
 
 void client_connection::send() {
-    sent_ = true;
     // Reading reports a failed write as the end of input, after a response that has already arrived.
     writer_.write(std::move(request_), shared_from_this(), [](bool) {});
     request_.clear();
@@ -93,25 +88,35 @@
 }
 
 void client_connection::wait_for_bytes() {
-    if (closed_ || waiting_ || paused_) {
+    if (closed_ || waiting_ || paused()) {
         return;
     }
     waiting_ = true;
     socket_.async_wait(boost::asio::ip::tcp::socket::wait_read, [self = shared_from_this()](const auto& ec) {
         self->waiting_ = false;
-        if (!ec && !self->closed_ && !self->paused_) {
+        if (!ec && !self->closed_ && !self->paused()) {
             self->read_bytes();
         }
     });
 }
 
 std::string_view client_connection::activity() const {
-    return closed_ ? "closed" : !connected_ ? "connecting" : paused_ ? "paused" : "reading";
+    return closed_ ? "closed" : !connected_ ? "connecting" : paused() ? "paused" : "reading";
 }
 
-void client_connection::pause_reading(bool pause) {
-    paused_ = pause;
-    wait_for_bytes();
+std::function<void()> client_connection::pause_reading() {
+    if (!call_) {
+        return [] {};
+    }
+    call_->paused = true;
+    return [self = shared_from_this(), number = call_->number] { self->resume_reading(number); };
+}
+
+void client_connection::resume_reading(std::uint64_t call_number) {
+    if (call_ && call_->number == call_number) {
+        call_->paused = false;
+        wait_for_bytes();
+    }
 }
 
 void client_connection::read_bytes() {
@@ -127,7 +132,7 @@
         on_end_of_input(ec == boost::asio::error::eof);
         return;
     }
-    if (sink_ == nullptr) {
+    if (!call_) {
         close(); // unexpected bytes without a pending request
         return;
     }
@@ -137,21 +142,21 @@
 
 void client_connection::consume(std::string_view bytes) {
     while (!bytes.empty() && !closed_) {
-        if (sink_ == nullptr) {
+        if (!call_) {
             close(); // bytes after a complete response
             return;
         }
         if (!parser_) {
             parser_ = std::make_unique<response_parser>();
             parser_->header_limit(header_limit);
-            parser_->skip(no_body_);
+            parser_->skip(call_->no_body);
         }
         boost::beast::error_code ec;
         const auto used = parser_->feed(bytes, ec);
         bytes.remove_prefix(used);
         if (ec) {
             error_ = ec.message();
-            fail(head_delivered_ ? call_failure::broken_off : call_failure::garbled);
+            fail(call_->head_delivered ? call_failure::broken_off : call_failure::garbled);
             return;
         }
         if (!notify_sink()) {
@@ -167,29 +172,29 @@
     if (!parser_->is_header_done()) {
         return true;
     }
-    if (!head_delivered_ && !discarding_) {
+    if (!call_->head_delivered && !discarding_) {
         if (parser_->head.status < 200) {
             discarding_ = true; // interim response
         } else {
             keep_alive_ = parse_keep_alive(parser_->head.headers);
-            const auto action = sink_->on_head(parser_->head);
+            const auto action = call_->sink->on_head(parser_->head);
+            if (!call_) {
+                return false; // cancelled by the sink
+            }
             if (action == head_action::reject) {
                 fail(call_failure::garbled);
                 return false;
             }
             discarding_ = action == head_action::discard;
             discarded_any_ = discarded_any_ || discarding_;
-            head_delivered_ = !discarding_;
+            call_->head_delivered = !discarding_;
         }
     }
-    if (sink_ == nullptr || closed_) {
-        return false;
-    }
-    if (head_delivered_ && !parser_->body.empty()) {
-        sink_->on_body(parser_->body);
+    if (call_->head_delivered && !parser_->body.empty()) {
+        call_->sink->on_body(parser_->body);
     }
     parser_->body.clear();
-    return sink_ != nullptr && !closed_;
+    return call_.has_value() && !closed_;
 }
 
 void client_connection::response_complete(bool bytes_left) {
@@ -203,8 +208,8 @@
         return;
     }
     const bool reusable = stays_open && !bytes_left && !discarded_any_ && writer_.pending() == 0;
-    auto* sink = sink_;
-    sink_ = nullptr;
+    auto* sink = call_->sink;
+    call_.reset();
     idle_since_ = time_.now();
     if (!reusable) {
         close();
@@ -213,7 +218,8 @@
 }
 
 void client_connection::on_end_of_input(bool clean) {
-    if (sink_ != nullptr && clean && parser_ && parser_->is_header_done() && head_delivered_) {
+    const bool has_head = call_ && call_->head_delivered;
+    if (clean && has_head && parser_ && parser_->is_header_done()) {
         boost::beast::error_code ec;
         parser_->put_eof(ec);
         if (!ec && parser_->is_done()) {
@@ -222,12 +228,12 @@
             return;
         }
     }
-    fail(head_delivered_ ? call_failure::broken_off : call_failure::no_response);
+    fail(has_head ? call_failure::broken_off : call_failure::no_response);
 }
 
 void client_connection::fail(call_failure reason) {
-    auto* sink = sink_;
-    sink_ = nullptr;
+    auto* sink = call_ ? call_->sink : nullptr;
+    call_.reset();
     close();
     if (sink != nullptr) {
         sink->on_failed(reason);
@@ -235,7 +241,7 @@
 }
 
 void client_connection::cancel() {
-    sink_ = nullptr;
+    call_.reset();
     close();
 }
 
--- a/modules/berylcrank_gateway/client/client_connection.h
+++ b/modules/berylcrank_gateway/client/client_connection.h
@@ -5,7 +5,9 @@
 #include "modules/berylcrank_gateway/http/socket_writer.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace berylcrank {
@@ -68,11 +70,13 @@
     /** Detaches the sink and closes the connection. */
     void cancel();
 
-    /** Pauses or resumes reading, which applies backpressure to the upstream of a slow caller. */
-    void pause_reading(bool pause);
+    /** Pauses reading the response of the current call, which applies backpressure to the upstream of a slow
+        caller. The pause ends with the call, or when the returned handler runs; after the call, the handler
+        has no effect. */
+    [[nodiscard]] std::function<void()> pause_reading();
 
     /** Returns true if the connection is open and carries no call. */
-    [[nodiscard]] bool idle() const { return connected_ && sink_ == nullptr && !closed_; }
+    [[nodiscard]] bool idle() const { return connected_ && !call_ && !closed_; }
     [[nodiscard]] bool closed() const { return closed_; }
     [[nodiscard]] bool connected() const { return connected_; }
     /** Returns true if the connection has carried an earlier call. */
@@ -88,8 +92,19 @@
     [[nodiscard]] millis keep_alive() const { return keep_alive_; }
 
 private:
+    /** State of the call in progress. A later call on the connection starts with a new one. */
+    struct call_state {
+        response_sink* sink;
+        std::uint64_t number;
+        bool no_body{false};
+        bool paused{false};
+        bool head_delivered{false};
+    };
+
     void connect();
     void send();
+    void resume_reading(std::uint64_t call_number);
+    [[nodiscard]] bool paused() const { return call_ && call_->paused; }
     void wait_for_bytes();
     void read_bytes();
     void consume(std::string_view bytes);
@@ -104,7 +119,7 @@
     const clock& time_;
     socket_writer writer_;
     std::unique_ptr<response_parser> parser_;
-    response_sink* sink_{nullptr};
+    std::optional<call_state> call_;
     std::string request_;
     std::string error_;
     instant idle_since_;
@@ -113,12 +128,8 @@
     bool connected_{false};
     bool closed_{false};
     bool waiting_{false};
-    bool paused_{false};
-    bool no_body_{false};
-    bool head_delivered_{false};
     bool discarding_{false};
     bool discarded_any_{false};
-    bool sent_{false};
 };
 
 using client_connection_ptr = std::shared_ptr<client_connection>;
--- a/modules/berylcrank_gateway/flow/request_flow.cpp
+++ b/modules/berylcrank_gateway/flow/request_flow.cpp
@@ -223,9 +223,7 @@
         return;
     }
     if (caller_->unsent_bytes() > node_.options.max_unsent_bytes) {
-        const auto& connection = it.connection();
-        connection->pause_reading(true);
-        caller_->on_drained = [connection] { connection->pause_reading(false); };
+        caller_->on_drained = it.connection()->pause_reading();
     }
 }
 
--- a/modules/berylcrank_gateway/flow/request_flow_end.cpp
+++ b/modules/berylcrank_gateway/flow/request_flow_end.cpp
@@ -4,6 +4,7 @@
 
 #include <absl/strings/str_format.h>
 #include <algorithm>
+#include <utility>
 
 namespace berylcrank {
 
@@ -112,6 +113,9 @@
         std::any_of(attempts_.begin(), attempts_.end(), [](const auto& it) { return !it->ended(); });
     if (running && !is_idempotent(route_->kind)) {
         abandoned_ = true; // the upstream completes the request and the response is dropped
+        if (const auto resume = std::exchange(caller_->on_drained, nullptr)) {
+            resume();
+        }
         return;
     }
     finish("caller-left", 0);
--- a/tests/process/gateway_path_test.cpp
+++ b/tests/process/gateway_path_test.cpp
@@ -76,6 +76,33 @@
           std::chrono::milliseconds(290)); // Sequential lookups take twice 150 ms.
 }
 
+// Guards against a connection to an upstream that returns to the pool while its reading is paused, so that
+// the response to the next request on it is never read.
+TEST_CASE_FIXTURE(
+    gateway_path_fixture,
+    "gateway, download completes behind a slower lookup, its connection serves the next request") {
+    constexpr int rounds = 4;
+    // Above the size from which a response is streamed, and complete in the same read.
+    constexpr std::size_t file_bytes = 263000;
+    for (const auto* worker : subject.workers_of("lookups")) {
+        subject.configure_worker(*worker, "work=200");
+    }
+    for (const auto* worker : subject.workers_of("files")) {
+        subject.configure_worker(*worker, "bytes=" + std::to_string(file_bytes));
+    }
+    const auto& node = subject.nodes().front();
+    for (int n = 0; n < rounds; ++n) {
+        const auto round = std::to_string(n);
+        auto connection = raw_connection::to(node.front);
+        REQUIRE(connection.send(pipelined("/l/a", "slow-" + round) + pipelined("/f/a", "file-" + round)));
+        CHECK(header_in(connection.read_message(), "Request-Id") == "slow-" + round);
+        CHECK(header_in(connection.read_message(), "Request-Id") == "file-" + round);
+        const auto next = subject.request(node, "GET", "/f/a", "next-" + round);
+        CHECK(next.status == 200);
+        CHECK(next.body.size() == file_bytes);
+    }
+}
+
 // Guards against a parser that loses or misreads heads and bodies that arrive in pieces.
 TEST_CASE_FIXTURE(gateway_path_fixture, "gateway, request arrives byte by byte, is read completely") {
     auto connection = raw_connection::to(subject.nodes().front().front);
