Do not send requests that the exit of a stopping node would cut off

Cause: a stopping node treated requests like any other until it closed its listener at 0.55 of the grace time, and did not consider what they need until the exit, 0.7 s before the end of the grace time.

Change: may_send_while_stopping decides before each first send, each retry and for each queued request. A request is sent if its deadline comes before the exit; otherwise only in the first 3 s, and if four times the median duration of its route and the time in the queue fit. What is not sent is refused as not run with Retry-After: 0. Weighed: refusing every request whose deadline comes after the exit (from the signal on, this refuses all with long time limits, whose callers cannot know of the stop yet); answering 504 at the exit (the order may have run, so nothing is gained).

--- a/modules/berylcrank_balance/berylcrank_balance.h
+++ b/modules/berylcrank_balance/berylcrank_balance.h
@@ -14,6 +14,7 @@
 #include "modules/berylcrank_balance/admission/prior_wait_estimator.h"
 #include "modules/berylcrank_balance/admission/slot_shares.h"
 #include "modules/berylcrank_balance/admission/startup_limiter.h"
+#include "modules/berylcrank_balance/admission/stop_admission.h"
 #include "modules/berylcrank_balance/admission/wait_queue.h"
 #include "modules/berylcrank_balance/budget/windowed_retry_budget.h"
 #include "modules/berylcrank_balance/catalog/record_table.h"
--- a/modules/berylcrank_gateway/flow/gateway.cpp
+++ b/modules/berylcrank_gateway/flow/gateway.cpp
@@ -70,17 +70,30 @@
             keep->refuse("waited-too-long");
         }
     }
-    std::vector<std::shared_ptr<request_flow>> flows;
-    flows.reserve(flows_.size());
-    for (const auto& [number, it] : flows_) {
-        flows.push_back(it);
-    }
-    for (const auto& it : flows) {
+    for (const auto& it : all_flows()) {
         it->check_timeouts(now);
     }
     finished_flows_.clear();
 }
 
+std::vector<std::shared_ptr<request_flow>> gateway::all_flows() const {
+    std::vector<std::shared_ptr<request_flow>> result;
+    result.reserve(flows_.size());
+    for (const auto& [number, it] : flows_) {
+        result.push_back(it);
+    }
+    return result;
+}
+
+bool gateway::stop_allows(stop_inputs in, instant now) const {
+    if (!stop_) {
+        return true;
+    }
+    in.since_stop = now - stop_->start;
+    in.exit_in = stop_->exit - now;
+    return may_send_while_stopping(in, node_.options.stops);
+}
+
 void gateway::send_waiting(const std::string& service) {
     while (send_next_waiting(service)) {
     }
--- a/modules/berylcrank_gateway/flow/gateway.h
+++ b/modules/berylcrank_gateway/flow/gateway.h
@@ -3,6 +3,7 @@
 #include "modules/berylcrank_gateway/flow/request_flow.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <optional>
 
 namespace berylcrank {
 
@@ -16,10 +17,15 @@
     explicit gateway(node_state& node) : node_(node) {}
 
     void handle(const exchange_ptr& it) override;
-    [[nodiscard]] bool closing() const override { return stopping_; }
+    [[nodiscard]] bool closing() const override { return stop_.has_value(); }
 
-    /** Makes all further responses ask callers to close the connection. */
-    void stop() { stopping_ = true; }
+    /** Makes all further responses ask callers to close the connection, and refuses requests that cannot be
+        expected to complete before the process exits at `exit_at`. */
+    void stop(instant now, instant exit_at) { stop_ = stop_period{.start = now, .exit = exit_at}; }
+
+    /** Returns whether a request may be sent to an upstream, which the exit of a stopping process could cut
+        off. Times of `in` that concern the stop are ignored. */
+    [[nodiscard]] bool stop_allows(stop_inputs in, instant now) const;
 
     /** Sends waiting requests that an upstream can take and ends requests whose time is up. Call this
         periodically. */
@@ -55,7 +61,13 @@
         double arrivals{0}; // since the last update
     };
 
+    struct stop_period {
+        instant start;
+        instant exit;
+    };
+
     void start_flow(const exchange_ptr& it);
+    [[nodiscard]] std::vector<std::shared_ptr<request_flow>> all_flows() const;
     bool send_next_waiting(const std::string& service);
     void update_rates(instant now);
     static void respond_unavailable(const exchange_ptr& it, const node_state& node);
@@ -66,7 +78,7 @@
     absl::flat_hash_map<std::string, service_rates> rates_;
     instant rates_at_;
     std::uint64_t next_number_{1};
-    bool stopping_{false};
+    std::optional<stop_period> stop_;
 };
 
 } // namespace berylcrank
--- a/modules/berylcrank_gateway/flow/gateway_options.h
+++ b/modules/berylcrank_gateway/flow/gateway_options.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "modules/berylcrank_balance/admission/admission_control.h"
+#include "modules/berylcrank_balance/admission/stop_admission.h"
 #include "modules/berylcrank_balance/budget/windowed_retry_budget.h"
 #include "modules/berylcrank_balance/choice/hedge_policy.h"
 #include "modules/berylcrank_balance/choice/upstream_choice.h"
@@ -27,6 +28,7 @@
     choice_options choice;
     admission_options admission;
     hedge_options hedges;
+    stop_options stops;
     retry_budget_limits retries;
     double warmup_factor{1};   ///< Factor on the request rate that a cold upstream tolerates.
     double warmup_slack{0};    ///< Requests per second that are added to that rate.
--- a/modules/berylcrank_gateway/flow/request_flow.cpp
+++ b/modules/berylcrank_gateway/flow/request_flow.cpp
@@ -55,6 +55,9 @@
     const auto now = node_.time.now();
     node_.budget(service_).record_request(now);
     gateway_.count_arrival(service_);
+    if (refuse_if_stopping()) {
+        return;
+    }
     const bool is_late = late(now);
     const auto ahead = node_.waiting.ahead_of(service_, route_->priority, is_late);
     const auto picked = ahead == 0 ? pick() : upstream_pick{.any_usable = true};
--- a/modules/berylcrank_gateway/flow/request_flow.h
+++ b/modules/berylcrank_gateway/flow/request_flow.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace berylcrank {
@@ -31,8 +32,12 @@
         response is expected within the latency target. */
     upstream_pick pick(bool in_time_only = false);
 
-    /** Responds that the request did not run and when to retry it. `reason` is logged. */
-    void refuse(std::string_view reason);
+    /** Responds that the request did not run and when to retry it. `reason` is logged. Without `after`, the
+        time results from the length of the queue. */
+    void refuse(std::string_view reason, std::optional<millis> after = std::nullopt);
+
+    /** Refuses a request that the stop of the process would cut off. Returns whether it did. */
+    bool refuse_if_stopping();
 
     /** Ends attempts and responses whose time is up. Call this periodically. */
     void check_timeouts(instant now);
@@ -56,6 +61,7 @@
     [[nodiscard]] std::string serialized(const upstream& target, instant now) const;
     [[nodiscard]] admission_inputs make_admission_inputs(instant now, std::size_t ahead) const;
     [[nodiscard]] bool start_limit_allows(const std::vector<upstream_ptr>& members, instant now) const;
+    [[nodiscard]] bool stop_allows_send(instant now) const;
     [[nodiscard]] bool may_retry(instant now);
     [[nodiscard]] std::size_t open_attempts() const;
     void cancel_others(const attempt& chosen);
--- a/modules/berylcrank_gateway/flow/request_flow_end.cpp
+++ b/modules/berylcrank_gateway/flow/request_flow_end.cpp
@@ -8,28 +8,49 @@
 
 namespace berylcrank {
 
-void request_flow::refuse(std::string_view reason) {
+void request_flow::refuse(std::string_view reason, std::optional<millis> after) {
     const auto now = node_.time.now();
-    auto after =
-        retry_after(make_admission_inputs(now, node_.waiting.ahead_of(service_, route_->priority, true)),
-                    node_.options.admission);
-    if (const auto pause_end = node_.upstreams.paused_until(service_, now)) {
-        after = std::max(after, *pause_end - now);
+    if (!after) {
+        after =
+            retry_after(make_admission_inputs(now, node_.waiting.ahead_of(service_, route_->priority, true)),
+                        node_.options.admission);
+        if (const auto pause_end = node_.upstreams.paused_until(service_, now)) {
+            after = std::max(*after, *pause_end - now);
+        }
+        node_.last_refusal = now;
     }
-    node_.last_refusal = now;
     node_.log.line("refused")
         .field("request", id_)
         .field("route", route_->name)
         .field("reason", reason)
-        .field("retry_after_ms", after.count())
+        .field("retry_after_ms", after->count())
         .field("waiting", static_cast<std::uint64_t>(node_.waiting.size()))
         .field("held_ms", (now - caller_->received).count())
         .send();
     caller_->respond(503, reason_phrase(503),
-                     {{node_.wire.headers().retry_after, absl::StrFormat("%.3f", after.value() / 1000)}}, "");
+                     {{node_.wire.headers().retry_after, absl::StrFormat("%.3f", after->value() / 1000)}},
+                     "");
     finish("refused", 503);
 }
 
+bool request_flow::stop_allows_send(instant now) const {
+    const auto in = make_admission_inputs(now, node_.waiting.ahead_of(service_, route_->priority, false));
+    const auto wait = in.drained_per_second > 0
+                          ? millis{1000} * (static_cast<double>(in.ahead) / in.drained_per_second)
+                          : millis{};
+    return gateway_.stop_allows(
+        {.deadline_left = in.deadline_left, .queue_wait = wait, .duration = in.duration}, now);
+}
+
+bool request_flow::refuse_if_stopping() {
+    if (!gateway_.closing() || stop_allows_send(node_.time.now())) {
+        return false;
+    }
+    node_.metrics.count_event("stop-refused");
+    refuse("stopping", millis{}); // other nodes can take it at once
+    return true;
+}
+
 void request_flow::fail(int status, std::string_view reason) {
     node_.log.line("failed")
         .field("request", id_)
@@ -58,6 +79,9 @@
     if (done_ || abandoned_) {
         return;
     }
+    if (waiting_ && refuse_if_stopping()) {
+        return;
+    }
     if (streamed_attempt_ != nullptr) {
         if (now - streamed_attempt_->last_activity() > node_.options.stall_timeout &&
             caller_->unsent_bytes() == 0) {
--- a/modules/berylcrank_gateway/flow/request_flow_retry.cpp
+++ b/modules/berylcrank_gateway/flow/request_flow_retry.cpp
@@ -72,7 +72,7 @@
 
 bool request_flow::may_retry(instant now) {
     if (caller_->disconnected() || deadline_ - now < min_time_for_retry ||
-        connect_failures_ > max_connect_failures) {
+        connect_failures_ > max_connect_failures || (gateway_.closing() && !stop_allows_send(now))) {
         return false;
     }
     return sent_count_ == 0 || sent_count_ < route_->max_attempts;
--- a/modules/berylcrank_gateway/node/gateway_node.cpp
+++ b/modules/berylcrank_gateway/node/gateway_node.cpp
@@ -168,7 +168,7 @@
     }
     stopping_ = true;
     stop_started_ = time_.now();
-    gateway_.stop();
+    gateway_.stop(stop_started_, stop_started_ + node_.options.grace - stop_margin);
     next_hello_ = stop_started_;
     next_message_ = stop_started_;
     log_.line("stopping").field("active", static_cast<std::uint64_t>(gateway_.active())).send();
--- a/tests/balance/limits_test.cpp
+++ b/tests/balance/limits_test.cpp
@@ -1,6 +1,7 @@
 #include "modules/berylcrank_balance/admission/admission_control.h"
 #include "modules/berylcrank_balance/admission/prior_wait_estimator.h"
 #include "modules/berylcrank_balance/admission/startup_limiter.h"
+#include "modules/berylcrank_balance/admission/stop_admission.h"
 #include "modules/berylcrank_balance/admission/wait_queue.h"
 #include "modules/berylcrank_balance/budget/windowed_retry_budget.h"
 #include "modules/berylcrank_balance/load/median_durations.h"
@@ -259,4 +260,37 @@
     CHECK(sends.size() >= 80); // in 10 s, so not far below the safe rate of 5.1 per second and node
 }
 
+// Guards against a request that is sent although the exit of the process will cut it off.
+TEST_CASE("stop admission, request that ends before the exit, is sent at any time") {
+    const stop_options options;
+    const stop_inputs in{.since_stop = millis{5000}, .exit_in = millis{300}, .deadline_left = millis{300}};
+    CHECK(may_send_while_stopping(in, options));
+    auto longer = in;
+    longer.deadline_left = millis{301};
+    CHECK_FALSE(may_send_while_stopping(longer, options));
+}
+
+// Guards against refusing requests whose callers cannot know of the stop yet, and against sending those that
+// cannot complete.
+TEST_CASE(
+    "stop admission, request that may outlast the process, is sent early if it is expected to complete") {
+    const stop_options options;
+    const stop_inputs early{.since_stop = millis{100},
+                            .exit_in = millis{5200},
+                            .deadline_left = millis{10000},
+                            .queue_wait = millis{200},
+                            .duration = millis{1250}};
+    CHECK(may_send_while_stopping(early, options));
+    auto slow = early;
+    slow.duration = millis{1300};
+    CHECK_FALSE(may_send_while_stopping(slow, options));
+    auto queued = early;
+    queued.queue_wait = millis{300};
+    CHECK_FALSE(may_send_while_stopping(queued, options));
+    auto after_notice = early;
+    after_notice.since_stop = options.notice_time + millis{1};
+    after_notice.duration = millis{1};
+    CHECK_FALSE(may_send_while_stopping(after_notice, options));
+}
+
 } // namespace berylcrank
