Test repeated refusals and bytes without end from several upstreams

In the own interface, an order is sent to an upstream at most once (order_execution excludes the upstreams that it has tried), so a late copy cannot have the id of a running order; a response with another id ends as wrong_id.

--- a/standins/platform_worker/worker.cpp
+++ b/standins/platform_worker/worker.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
+#include <utility>
 
 namespace berylcrank::standin {
 
@@ -16,6 +17,7 @@
     socket_writer writer;
     std::unique_ptr<request_parser> parser;
     std::array<char, 16384> buf{};
+    std::string last_refusal; // is written once more when the next request arrives
     bool closed{false};
 };
 
@@ -118,6 +120,9 @@
         send(it, response(head, 200, absl::StrCat("Instance-Id: ", behaviour_.id, "\r\n", cold), ""));
         return;
     }
+    if (behaviour_.mode.starts_with("shed-again") && sheds_again(it, head)) {
+        return;
+    }
     if (behaviour_.mode == "shed" || static_cast<int>(waiting_.size()) >= behaviour_.queue) {
         shed(it, head);
         return;
@@ -146,6 +151,19 @@
     send(it, response(head, 503, absl::StrCat("Not-Executed: 1\r\nRetry-After: ", seconds, "\r\n"), ""));
 }
 
+// Sheds every other request of a connection, and repeats each refusal when the next request arrives.
+bool worker::sheds_again(const connection_ptr& it, const request_head& head) {
+    if (!it->last_refusal.empty()) {
+        send(it, std::exchange(it->last_refusal, {}));
+        return false;
+    }
+    const auto refusal = response(head, 503, "Not-Executed: 1\r\n", "");
+    const auto unnamed = absl::StrCat("HTTP/1.1 503 Status\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+    it->last_refusal = behaviour_.mode == "shed-again-unnamed" ? unnamed : refusal;
+    send(it, refusal);
+    return true;
+}
+
 void worker::start_next() {
     while (running_ < behaviour_.slots && !waiting_.empty()) {
         const auto it = waiting_.front();
@@ -175,6 +193,10 @@
     if (mode == "mute") {
         return;
     }
+    if (mode == "slow-head") {
+        send_slowly(it.from, "HTTP/1.1 200 OK\r\nFiller: ");
+        return;
+    }
     if (mode.starts_with("endless") && mode != "endless-health") {
         finish_endlessly(it);
         return;
@@ -243,6 +265,17 @@
     }
 }
 
+void worker::send_slowly(const connection_ptr& it, const std::string& start) {
+    constexpr std::chrono::milliseconds interval{20};
+    it->writer.write(start, it, [this, it, interval](bool ok) {
+        if (!ok || it->closed) {
+            return;
+        }
+        auto timer = std::make_shared<boost::asio::steady_timer>(io_, interval);
+        timer->async_wait([this, it, timer](const auto&) { send_slowly(it, "x"); });
+    });
+}
+
 void worker::send_endlessly(const connection_ptr& it, const std::string& start, const std::string& repeated) {
     constexpr std::size_t block_bytes = 16384;
     std::string block = start;
--- a/standins/platform_worker/worker.h
+++ b/standins/platform_worker/worker.h
@@ -22,20 +22,21 @@
     int queue{8};    ///< Requests that wait for a slot; further ones are shed.
     int work_ms{10}; ///< Service time at a slowness of 100.
     std::size_t body_bytes{100};
-    int slowness{100};   ///< Service time in percent of `work_ms`; the fourth field of `Server-Load`.
-    int warm_up_ms{0};   ///< Value of `Warmup-Ms` in health check responses; 0 leaves the header out.
-    bool leaving{false}; ///< Announces its stop in all responses.
+    int slowness{100};        ///< Service time in percent of `work_ms`; the fourth field of `Server-Load`.
+    int warm_up_ms{0};        ///< Value of `Warmup-Ms` in health check responses; 0 leaves the header out.
+    bool leaving{false};      ///< Announces its stop in all responses.
     std::string
         retry_after; ///< Whole seconds of `Retry-After` in responses to shed requests; empty leaves it out.
-    /** good, shed, error, reset, truncate, unframed, unframed-reset, extra, late, late-unnamed, unsigned,
-       mute, endless-head, endless-body, endless-chunk, endless-shed or endless-health. */
+    /** good, shed, shed-again, shed-again-unnamed, error, reset, truncate, unframed, unframed-reset, extra,
+       late, late-unnamed, unsigned, mute, slow-head, endless-head, endless-body, endless-chunk, endless-shed
+       or endless-health. */
     std::string mode{"good"};
 };
 
 /** A worker of the platform. It runs requests in slots, sheds them when its queue is full and injects faults.
 
-    - `POST /control?mode=M&work=MS&slowness=N&warm-up=MS&bytes=N&leaving=1&retry-after=S`: changes its
-      behaviour.
+    - `POST /control?mode=M&work=MS&slowness=N&warm-up=MS&bytes=N&leaving=1&retry-after=S`:
+   changes its behaviour.
     - `GET /received-in-pause`: number of requests received, health checks included, between half a second
    after the first response with `Retry-After` and the end of the time that it stated.
     - `GET /runs`: lists `id count` for each request that it has started.
@@ -66,6 +67,8 @@
     void finish_endlessly(const job& it);
     void finish_successfully(const job& it, const std::string& signature, const std::string& body);
     void shed(const connection_ptr& it, const request_head& head);
+    bool sheds_again(const connection_ptr& it, const request_head& head);
+    void send_slowly(const connection_ptr& it, const std::string& start);
     [[nodiscard]] std::string run_list() const;
     void count_in_pause();
     void update_behaviour(const std::string& target);
--- a/tests/process/gateway_trouble_test.cpp
+++ b/tests/process/gateway_trouble_test.cpp
@@ -146,6 +146,44 @@
     }
 }
 
+// Guards against memory that grows with the number of upstreams that send without end at the same time, and
+// against bytes that come too slowly to exceed any size.
+TEST_CASE_FIXTURE(
+    gateway_trouble_fixture,
+    "gateway, all upstreams of two services send without end, others are served in bounded memory") {
+    constexpr int callers = 24;
+    const auto process = node().process->id();
+    for (const auto* mode : {"endless-head", "endless-chunk", "endless-body", "slow-head"}) {
+        CAPTURE(mode);
+        for (const auto* service : {"orders", "files"}) {
+            for (const auto* worker : subject.workers_of(service)) {
+                subject.configure_worker(*worker, std::string("mode=") + mode);
+            }
+        }
+        const auto before = resident_kib(process);
+        std::vector<std::thread> threads;
+        std::atomic<int> successes{0};
+        for (int k = 0; k < callers; ++k) {
+            threads.emplace_back([&, k] {
+                const auto id = std::string(mode) + "-" + std::to_string(k);
+                const bool is_order = k % 2 == 0;
+                const auto response = platform_deployment::request(node(), is_order ? "POST" : "GET",
+                                                                   is_order ? "/o/a" : "/f/a", id);
+                successes += response.is_complete && response.status == 200 ? 1 : 0;
+            });
+        }
+        for (int n = 0; n < 20; ++n) {
+            CHECK(lookup().status == 200);
+            CHECK(resident_kib(process) - before < 65536);
+        }
+        for (auto& it : threads) {
+            it.join();
+        }
+        CHECK(successes == 0);
+        CHECK(resident_kib(process) - before < 65536);
+    }
+}
+
 // Guards against health checks whose response never ends and takes the memory of the node that asked for it.
 TEST_CASE_FIXTURE(gateway_trouble_fixture,
                   "gateway, health check responds without end, memory stays bounded and lookups succeed") {
--- a/tests/process/gateway_upstream_test.cpp
+++ b/tests/process/gateway_upstream_test.cpp
@@ -85,6 +85,53 @@
     }
 }
 
+// Guards against a caller that is told "not run" for an order that ran, and against an order that runs at a
+// second upstream, because an earlier refusal arrives again on the connection.
+TEST_CASE_FIXTURE(gateway_upstream_fixture,
+                  "gateway, upstream repeats an earlier refusal, applies it to no other request") {
+    constexpr int requests = 24;
+    for (const auto* mode : {"shed-again", "shed-again-unnamed"}) {
+        CAPTURE(mode);
+        configure_workers("orders", std::string("mode=") + mode);
+        configure_workers("lookups", std::string("mode=") + mode);
+        int served = 0;
+        for (int n = 0; n < requests; ++n) {
+            const auto id = std::string(mode) + std::to_string(n);
+            const auto response = subject.request(node(), "POST", "/o/a", id, "x");
+            const auto runs = subject.execution_count(id);
+            CHECK(runs <= 1);
+            CHECK((response.status != 503 || runs == 0));
+            CHECK((response.status != 200 || response.header("Request-Id") == id));
+            served += response.status == 200 ? 1 : 0;
+            const auto lookup = subject.request(node(), "GET", "/l/a", "l-" + id);
+            CHECK((lookup.status == 200 || lookup.status == 503 || lookup.status == 502));
+            CHECK((lookup.status != 200 || lookup.header("Request-Id") == "l-" + id));
+        }
+        CHECK(served > 0);
+    }
+}
+
+// Guards against the same with several requests in flight on one connection of the caller.
+TEST_CASE_FIXTURE(gateway_upstream_fixture,
+                  "gateway, upstream repeats refusals of pipelined lookups, each gets its own response") {
+    configure_workers("lookups", "mode=shed-again");
+    for (int round = 0; round < 8; ++round) {
+        auto connection = raw_connection::to(node().front);
+        std::string text;
+        for (int n = 0; n < 4; ++n) {
+            text += "GET /l/a HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: p-" + std::to_string(round) +
+                    "-" + std::to_string(n) + "\r\n\r\n";
+        }
+        REQUIRE(connection.send(text));
+        for (int n = 0; n < 4; ++n) {
+            const auto response = connection.read_message();
+            const auto id = header_in(response, "Request-Id");
+            CHECK((id.empty() ? !response.starts_with("HTTP/1.1 200")
+                              : id == "p-" + std::to_string(round) + "-" + std::to_string(n)));
+        }
+    }
+}
+
 // Guards against a truncated response that appears complete, and against a complete response without a length
 // that is treated as failed.
 TEST_CASE_FIXTURE(gateway_upstream_fixture,
