--- a/bench/decision/main.cpp
+++ b/bench/decision/main.cpp
@@ -1,6 +1,6 @@
 #include "modules/berylcrank_routing/berylcrank_routing.h"
 #include "modules/berylcrank_routing/policy/subset.h"
-#include "modules/berylcrank_routing/suspect/suspect_table.h"
+#include "modules/berylcrank_suspect/berylcrank_suspect.h"
 
 #include <malloc.h>
 
@@ -138,10 +138,9 @@
 
 void report_suspects() {
     const auto before = heap_bytes();
-    suspect_table table({.self = {1}});
+    suspect_table table({}, [](const upstream_loss&) { return false; });
     for (std::uint64_t n = 0; n < 10000; ++n) {
-        table.on_connection_lost(n, "worker-" + std::to_string(n % 100), std::to_string(n / 100), 2,
-                                 instant{});
+        table.on_lost(n, {.upstream = static_cast<std::uint32_t>(n % 100), .run = n / 100}, instant{});
     }
     const auto bytes = static_cast<double>(heap_bytes() - before);
     constexpr int checks = 1000000;
--- a/bench/policy/suspects.cpp
+++ b/bench/policy/suspects.cpp
@@ -1,5 +1,5 @@
 #include "bench/policy/scenario.h"
-#include "modules/berylcrank_routing/suspect/suspect_table.h"
+#include "modules/berylcrank_suspect/berylcrank_suspect.h"
 
 #include <cmath>
 #include <cstdio>
@@ -23,7 +23,7 @@
     millis crash_time; ///< Time from the arrival of the poison request at the upstream to the crash.
     millis unrelated_crash_interval; ///< Time between crashes that no request causes; 0: no such crashes.
     bool has_domain_losses;          ///< Five upstreams crash at the same time, once per minute.
-    double report_loss{0}; ///< Share of direct crash reports that are lost. Gossip repeats the reports.
+    double report_loss{0};           ///< Share of the messages between nodes that are lost.
 };
 
 /** Simulates nodes with suspect tables in front of upstreams that crash. One request, the poison request,
@@ -32,7 +32,8 @@
 public:
     crash_simulation(const suspect_setting& setting, std::uint64_t seed) : setting_(setting), random_(seed) {
         for (std::uint64_t n = 0; n < nodes; ++n) {
-            tables_.push_back(std::make_unique<suspect_table>(suspect_table::options{.self = {n + 1}}));
+            tables_.push_back(std::make_unique<suspect_table>(suspect_table::options{},
+                                                              [](const upstream_loss&) { return false; }));
         }
         for (int n = 1; n <= fingerprint_count; ++n) { // The popularity of rank n is 1/n.
             popularity_.push_back((popularity_.empty() ? 0 : popularity_.back()) + 1.0 / n);
@@ -42,7 +43,7 @@
     suspect_result run(millis duration) {
         send_normal_request();
         send_poison_request();
-        exchange_gossip();
+        exchange_reports();
         if (setting_.unrelated_crash_interval > millis{}) {
             crash_random_upstream();
         }
@@ -65,6 +66,7 @@
         std::uint64_t number;
         std::uint64_t fingerprint;
         std::size_t node;
+        instant sent_at;
     };
     struct upstream {
         std::vector<request> in_flight;
@@ -76,13 +78,13 @@
         const double draw = random_.unit() * popularity_.back();
         const auto rank = std::ranges::lower_bound(popularity_, draw) - popularity_.begin();
         ++result_.normal_requests;
-        arrive(poison_fingerprint + 1 + static_cast<std::uint64_t>(rank), random_.below(nodes), 0);
+        arrive(poison_fingerprint + 1 + static_cast<std::uint64_t>(rank), random_.below(nodes));
         events_.run_after(millis::from_value(-std::log(1 - random_.unit()) / requests_per_ms),
                           [this] { send_normal_request(); });
     }
 
     void send_poison_request() {
-        arrive(poison_fingerprint, random_.below(nodes), 0);
+        arrive(poison_fingerprint, random_.below(nodes));
         events_.run_after(millis{100}, [this] { send_poison_request(); });
     }
 
@@ -98,51 +100,32 @@
         events_.run_after(millis{60000}, [this] { lose_failure_domain(); });
     }
 
-    void exchange_gossip() {
+    void exchange_reports() {
         for (std::size_t sender = 0; sender < nodes; ++sender) {
-            for (int n = 0; n < 3; ++n) {
-                const auto receiver = random_.below(nodes);
-                tables_[receiver]->merge(tables_[sender]->recent_crash_reports(64, events_.now()),
-                                         events_.now());
+            auto changes = tables_[sender]->take_changes(8, events_.now());
+            if (!changes.empty()) {
+                broadcast(changes, sender);
             }
         }
-        events_.run_after(millis{300}, [this] { exchange_gossip(); });
+        events_.run_after(millis{50}, [this] { exchange_reports(); });
     }
 
-    void arrive(std::uint64_t fingerprint, std::size_t node, int relays) {
-        const auto verdict = tables_[node]->check(fingerprint, events_.now());
-        switch (verdict.action) {
-        case suspect_verdict::action_kind::run:
-            return send(fingerprint, node, false);
-        case suspect_verdict::action_kind::run_alone:
-            return send(fingerprint, node, true);
-        case suspect_verdict::action_kind::wait:
-            return events_.run_after(millis{5}, [=, this] { arrive(fingerprint, node, relays); });
-        case suspect_verdict::action_kind::relay:
-            if (relays < 2) {
-                const auto owner = static_cast<std::size_t>(verdict.owner.value - 1);
-                return events_.run_after(one_way_delay,
-                                         [=, this] { arrive(fingerprint, owner, relays + 1); });
-            }
-            break;
-        case suspect_verdict::action_kind::refuse:
-            break;
+    void arrive(std::uint64_t fingerprint, std::size_t node) {
+        if (tables_[node]->check(fingerprint, events_.now()).action != suspect_verdict::action_kind::refuse) {
+            send(fingerprint, node);
+            return;
         }
         result_.refused_normal_requests += fingerprint != poison_fingerprint ? 1 : 0;
     }
 
-    void send(std::uint64_t fingerprint, std::size_t node, bool is_alone) {
+    void send(std::uint64_t fingerprint, std::size_t node) {
         auto target = random_.below(upstreams);
-        const auto is_unavailable = [&](std::size_t n) {
-            return !upstreams_[n].is_up ||
-                   std::ranges::any_of(upstreams_[n].in_flight,
-                                       [&](const request& other) { return is_alone && other.node == node; });
-        };
-        for (std::size_t n = 0; n < upstreams && is_unavailable(target); ++n) {
+        for (std::size_t n = 0; n < upstreams && !upstreams_[target].is_up; ++n) {
             target = (target + 1) % upstreams;
         }
         const auto number = ++last_number_;
-        upstreams_[target].in_flight.push_back({.number = number, .fingerprint = fingerprint, .node = node});
+        upstreams_[target].in_flight.push_back(
+            {.number = number, .fingerprint = fingerprint, .node = node, .sent_at = events_.now()});
         const bool is_poison = fingerprint == poison_fingerprint;
         const auto time =
             is_poison ? setting_.crash_time : millis::from_value(-std::log(1 - random_.unit()) * 10);
@@ -158,9 +141,7 @@
                 return crash(target);
             }
             in_flight.erase(finished);
-            if (const auto report = tables_[node]->on_success(fingerprint, events_.now())) {
-                broadcast(*report, node);
-            }
+            tables_[node]->on_success(fingerprint, events_.now());
         });
     }
 
@@ -181,14 +162,12 @@
         const auto lost = std::move(crashed.in_flight);
         crashed.in_flight.clear();
         for (const auto& lost_request : lost) {
-            const auto in_flight_at_node = static_cast<std::uint32_t>(
-                std::ranges::count(lost, lost_request.node, [](const request& other) { return other.node; }));
-            const auto report = tables_[lost_request.node]->on_connection_lost(
-                lost_request.fingerprint, std::to_string(n), std::to_string(crashed.incarnation),
-                in_flight_at_node, events_.now());
-            if (report) {
-                broadcast(*report, lost_request.node);
-            }
+            tables_[lost_request.node]->on_lost(lost_request.fingerprint,
+                                                {.upstream = static_cast<std::uint32_t>(n),
+                                                 .run = crashed.incarnation,
+                                                 .sent_at = lost_request.sent_at,
+                                                 .lost_at = events_.now()},
+                                                events_.now());
         }
         events_.run_after(restart_time, [this, n] {
             upstreams_[n].is_up = true;
@@ -196,12 +175,11 @@
         });
     }
 
-    void broadcast(const crash_report& report, std::size_t from) {
+    void broadcast(const std::vector<suspect_report>& reports, std::size_t from) {
         for (std::size_t n = 0; n < nodes; ++n) {
             if (n != from && random_.unit() >= setting_.report_loss) {
-                events_.run_after(one_way_delay, [this, n, report] {
-                    tables_[n]->merge({&report, 1}, events_.now());
-                });
+                events_.run_after(one_way_delay,
+                                  [this, n, reports] { tables_[n]->merge(reports, events_.now()); });
             }
         }
     }
@@ -224,7 +202,7 @@
         {"poison request only, crash after 20 ms", millis{20}, millis{}, false},
         {"also unrelated crashes every 10 s", millis{20}, millis{10000}, false},
         {"also a failure domain lost each minute", millis{20}, millis{10000}, true},
-        {"also 10 % of direct crash reports lost", millis{20}, millis{10000}, true, 0.1},
+        {"also 10 % of the messages lost", millis{20}, millis{10000}, true, 0.1},
         {"crash only after 250 ms", millis{250}, millis{10000}, true},
     };
     std::printf(
--- a/modules/berylcrank_balance/load/load_tracker.cpp
+++ b/modules/berylcrank_balance/load/load_tracker.cpp
@@ -28,6 +28,7 @@
     }
     load.report = it;
     load.reported = true;
+    load.responded_at = std::max(load.responded_at, it.at);
     load.untracked =
         has_untracked_nodes_ ? std::max(0, it.running + it.waiting - load.own - std::max(0, load.others)) : 0;
     load.report_unsent = load.report_unsent || publish;
@@ -60,8 +61,9 @@
     it.down_until = now + it.backoff;
 }
 
-void load_tracker::reachable(std::uint32_t upstream) {
+void load_tracker::reachable(std::uint32_t upstream, instant now) {
     auto& it = at(upstream);
+    it.responded_at = now;
     it.backoff = millis{};
     it.down_until = instant{};
 }
--- a/modules/berylcrank_balance/load/load_tracker.h
+++ b/modules/berylcrank_balance/load/load_tracker.h
@@ -48,6 +48,7 @@
         millis backoff;            // last backoff; 0 if reachable
         outcome_count unsent;      // outcomes of own requests since the last message to the other nodes
         bool report_unsent{false}; // `report` has not been sent to the other nodes yet
+        instant responded_at;      // last time that the upstream is known to have responded
         instant last_full;         // last time that all slots were in use while requests were queued
     };
 
@@ -72,7 +73,7 @@
     /** Marks an upstream as unreachable for the next backoff; no effect during a backoff. */
     void unreachable(std::uint32_t upstream, instant now);
     /** Marks an upstream as reachable after any response, including one to a probe. */
-    void reachable(std::uint32_t upstream);
+    void reachable(std::uint32_t upstream, instant now);
 
     /** Sets whether upstreams also serve nodes that do not report their in-flight counts to this one. */
     void set_has_untracked_nodes(bool it) { has_untracked_nodes_ = it; }
--- a/modules/berylcrank_gateway/flow/attempt.cpp
+++ b/modules/berylcrank_gateway/flow/attempt.cpp
@@ -14,7 +14,7 @@
 
 attempt::attempt(node_state& node, attempt_owner& owner, upstream_ptr target, std::string request_id)
     : node_(node), owner_(&owner), target_(std::move(target)), request_id_(std::move(request_id)),
-      started_(node.time.now()), last_activity_(started_) {}
+      upstream_run_(target_->entry.start_time_ms), started_(node.time.now()), last_activity_(started_) {}
 
 void attempt::start(std::string request, bool no_body) {
     self_reference_ = shared_from_this();
@@ -102,7 +102,7 @@
         return;
     }
     count_outcome(head.status < 500, 1);
-    node_.loads.reachable(target_->number);
+    node_.loads.reachable(target_->number, node_.time.now());
     end(send_result::response);
 }
 
--- a/modules/berylcrank_gateway/flow/attempt.h
+++ b/modules/berylcrank_gateway/flow/attempt.h
@@ -61,6 +61,12 @@
     [[nodiscard]] bool ended() const { return ended_; }
     [[nodiscard]] send_result result() const { return result_; }
     [[nodiscard]] call_failure failure() const { return failure_; }
+    /** Returns true if the connection was lost after the request was sent and before a complete response. */
+    [[nodiscard]] bool connection_lost() const {
+        return ended_ && result_ == send_result::unknown && failure_ != call_failure::garbled;
+    }
+    /** Start time of the upstream when the request was sent. */
+    [[nodiscard]] std::uint64_t upstream_run() const { return upstream_run_; }
     [[nodiscard]] bool reached() const { return connection_ && connection_->connected(); }
     [[nodiscard]] instant started() const { return started_; }
     [[nodiscard]] instant last_activity() const { return last_activity_; }
@@ -85,6 +91,7 @@
     attempt_owner* owner_;
     upstream_ptr target_;
     std::string request_id_;
+    std::uint64_t upstream_run_;
     client_connection_ptr connection_;
     std::shared_ptr<attempt> self_reference_; // keeps the attempt alive until it ends
     instant started_;
--- a/modules/berylcrank_gateway/flow/gateway.cpp
+++ b/modules/berylcrank_gateway/flow/gateway.cpp
@@ -107,6 +107,9 @@
             return true;
         }
         const auto flow = found->second;
+        if (flow->refuse_if_suspect()) {
+            return true;
+        }
         const auto picked = flow->pick();
         if (picked.it) {
             node_.waiting.erase(it.number);
--- a/modules/berylcrank_gateway/flow/gateway_options.h
+++ b/modules/berylcrank_gateway/flow/gateway_options.h
@@ -6,6 +6,7 @@
 #include "modules/berylcrank_balance/choice/hedge_policy.h"
 #include "modules/berylcrank_balance/choice/upstream_choice.h"
 #include "modules/berylcrank_balance/peers/peer_table.h"
+#include "modules/berylcrank_suspect/table/suspect_table.h"
 
 #include <string>
 #include <vector>
@@ -30,6 +31,7 @@
     hedge_options hedges;
     stop_options stops;
     retry_budget_limits retries;
+    suspect_table::options suspects;
     double warmup_factor{1};   ///< Factor on the request rate that a cold upstream tolerates.
     double warmup_slack{0};    ///< Requests per second that are added to that rate.
     millis address_ttl{2500};  ///< Time to live of a looked-up address list.
--- a/modules/berylcrank_gateway/flow/node_state.cpp
+++ b/modules/berylcrank_gateway/flow/node_state.cpp
@@ -57,6 +57,13 @@
     }
 }
 
+bool node_state::has_survived(const upstream_loss& it) const {
+    const auto target = upstreams.find(it.upstream);
+    const auto* load = loads.find(it.upstream);
+    return target && load != nullptr && target->entry.start_time_ms == it.run &&
+           load->responded_at - it.lost_at > survival_margin;
+}
+
 bool node_state::mark_leaving(upstream& it) {
     if (!upstreams.announce_leave(it)) {
         return false;
--- a/modules/berylcrank_gateway/flow/node_state.h
+++ b/modules/berylcrank_gateway/flow/node_state.h
@@ -8,6 +8,7 @@
 #include "modules/berylcrank_gateway/flow/gateway_options.h"
 #include "modules/berylcrank_gateway/flow/wire_format.h"
 #include "modules/berylcrank_gateway/log/event_log.h"
+#include "modules/berylcrank_suspect/berylcrank_suspect.h"
 
 #include <functional>
 
@@ -22,6 +23,10 @@
         two. */
     static constexpr millis refusal_memory{3000};
 
+    /** A response later than this after the loss of a connection shows that the upstream has survived. An
+        earlier one may have been on its way. */
+    static constexpr millis survival_margin{100};
+
     /** Time for which messages to other nodes repeat an announced stop, since datagrams can be lost. */
     static constexpr millis leave_repeat_time{250};
 
@@ -29,7 +34,8 @@
                event_log& events, gateway_options node_options, std::uint64_t seed)
         : time(time_source), wire(format), log(events), options(std::move(node_options)), random(seed),
           split(random.unit()), peers(options.self), shares(peers.self_number(), options.self.failure_domain),
-          subset(upstreams, peers), connections(io, time) {}
+          subset(upstreams, peers), connections(io, time),
+          suspects(options.suspects, [this](const upstream_loss& it) { return has_survived(it); }) {}
 
     const clock& time;
     const wire_format& wire;
@@ -52,6 +58,7 @@
     slot_shares shares;
     upstream_subset subset;
     connection_pool connections;                 // to upstreams
+    suspect_table suspects;                      // requests that may crash upstreams
     instant last_refusal;                        // when this node last refused a request
     instant membership_valid_from;               // until then, the view of the other nodes may be out of date
     std::vector<std::uint32_t> announced_leaves; // upstreams that announced their stop to this node
@@ -93,6 +100,9 @@
                              warmups.allows(it.number, rate, now));
     }
 
+    /** Returns true if an upstream has responded after the loss of a connection, without a start since. */
+    [[nodiscard]] bool has_survived(const upstream_loss& it) const;
+
     /** Call this when the process continues after a pause, in which it received no messages. Until the other
         nodes have been heard again, they seem to be gone and this node would take over their duties. */
     void on_resumed(instant now) {
--- a/modules/berylcrank_gateway/flow/prober.cpp
+++ b/modules/berylcrank_gateway/flow/prober.cpp
@@ -99,7 +99,7 @@
         node_.loads.outcome(it->number, {.bad = unhealthy_weight}, now, false);
         return;
     }
-    node_.loads.reachable(it->number);
+    node_.loads.reachable(it->number, now);
     node_.apply_warm_up(*it, result.head.headers, sent, now);
 }
 
--- a/modules/berylcrank_gateway/flow/request_flow.cpp
+++ b/modules/berylcrank_gateway/flow/request_flow.cpp
@@ -55,7 +55,7 @@
     const auto now = node_.time.now();
     node_.budget(service_).record_request(now);
     gateway_.count_arrival(service_);
-    if (refuse_if_stopping()) {
+    if (refuse_if_suspect() || refuse_if_stopping()) {
         return;
     }
     const bool is_late = late(now);
@@ -264,6 +264,7 @@
 void request_flow::on_end(attempt& it) {
     const auto self = shared_from_this();
     log_attempt_end(it);
+    report_crash_evidence(it);
     gateway_.count_completion(service_);
     gateway_.send_waiting(service_);
     if (done_ || abandoned_) {
--- a/modules/berylcrank_gateway/flow/request_flow.h
+++ b/modules/berylcrank_gateway/flow/request_flow.h
@@ -36,6 +36,9 @@
         time results from the length of the queue. */
     void refuse(std::string_view reason, std::optional<millis> after = std::nullopt);
 
+    /** Refuses a request that is known to crash upstreams. Returns whether it did. */
+    bool refuse_if_suspect();
+
     /** Refuses a request that the stop of the process would cut off. Returns whether it did. */
     bool refuse_if_stopping();
 
@@ -70,6 +73,10 @@
     void end_at_deadline(const std::vector<std::shared_ptr<attempt>>& attempts, instant now);
     void retry_or(const std::function<void()>& fallback, std::string_view reason);
     void log_attempt_end(const attempt& it);
+    [[nodiscard]] std::uint64_t fingerprint();
+    [[nodiscard]] bool suspicion_allows_retry();
+    void report_crash_evidence(const attempt& it);
+    void report_loss(const attempt& it, instant now);
     void deliver_response(attempt& it);
     void begin_response(const response_head& head, std::optional<std::uint64_t> length);
     void fail(int status, std::string_view reason);
@@ -88,12 +95,14 @@
     millis waited_before_; // time that the caller had waited in earlier attempts
     std::vector<std::shared_ptr<attempt>> attempts_;
     std::vector<std::uint32_t> tried_;
-    attempt* streamed_attempt_{nullptr}; // the attempt whose response is being streamed to the caller
+    attempt* streamed_attempt_{nullptr};       // the attempt whose response is being streamed to the caller
+    std::optional<std::uint64_t> fingerprint_; // computed when it is first needed
     int sent_count_{0};
     int connect_failures_{0};
     bool may_have_run_{false};
     bool waiting_{false};
     bool abandoned_{false};
+    bool is_trial_{false}; // tests whether a suspect still crashes upstreams
     bool done_{false};
 };
 
--- a/modules/berylcrank_gateway/flow/request_flow_end.cpp
+++ b/modules/berylcrank_gateway/flow/request_flow_end.cpp
@@ -113,6 +113,7 @@
         for (const auto& it : attempts) {
             if (!it->ended()) {
                 node_.loads.outcome(it->target().number, {.bad = 1}, now, true);
+                report_loss(*it, now); // it may have crashed without closing its connections
             }
         }
         fail(504, "out-of-time");
@@ -172,6 +173,9 @@
     if (waiting_) {
         node_.waiting.erase(number_);
     }
+    if (is_trial_) {
+        node_.suspects.on_trial_unused(fingerprint());
+    }
     cancel_attempts();
     gateway_.remove_flow(number_);
 }
--- a/modules/berylcrank_gateway/flow/request_flow_retry.cpp
+++ b/modules/berylcrank_gateway/flow/request_flow_retry.cpp
@@ -75,7 +75,7 @@
         connect_failures_ > max_connect_failures || (gateway_.closing() && !stop_allows_send(now))) {
         return false;
     }
-    return sent_count_ == 0 || sent_count_ < route_->max_attempts;
+    return sent_count_ == 0 || (sent_count_ < route_->max_attempts && suspicion_allows_retry());
 }
 
 void request_flow::retry_or(const std::function<void()>& fallback, std::string_view reason) {
--- a/modules/berylcrank_gateway/node/gateway_node.h
+++ b/modules/berylcrank_gateway/node/gateway_node.h
@@ -71,6 +71,7 @@
     void send_to(const node_message& it, const std::vector<const peer*>& peers, instant now);
     void send_hello_to(const node_info& it, bool request_hello);
     void on_message(const node_message& it);
+    void contact_new_nodes(const std::vector<node_info>& known, instant now);
     void apply_loads(const node_message& it, instant now);
     void on_newer_state(const peer& from, instant now);
     void pull_state(const peer& from, instant now);
--- a/modules/berylcrank_gateway/node/gateway_node_messages.cpp
+++ b/modules/berylcrank_gateway/node/gateway_node_messages.cpp
@@ -11,6 +11,7 @@
 // Receivers of a roster in other failure domains. Only the first node of a cell sends to them.
 constexpr std::size_t distant_fanout = 3;
 constexpr std::size_t max_known_in_hello = 8; // addresses of other nodes in a hello
+constexpr std::size_t max_suspects = 8;       // in a message
 
 } // namespace
 
@@ -124,6 +125,7 @@
         node_.announced_leaves.clear();
     }
     it.leaving = node_.announced_leaves;
+    it.suspects = node_.suspects.take_changes(max_suspects, now);
     for (const auto& service : node_.waiting.services()) {
         it.waiting.push_back(node_.waiting.count(service));
         it.waiting.back().per_second = gateway_.arrivals_per_second(service);
@@ -141,6 +143,7 @@
     auto it = message(now);
     it.has_watermarks = true;
     it.self = node_.peers.self();
+    it.suspects = node_.suspects.refused(max_suspects, now);
     std::vector<const peer*> to;
     for (const auto* peer : node_.peers.all()) {
         if (node_.peers.relation(*peer) != peer_relation::distant) {
@@ -159,6 +162,7 @@
     auto it = message(now);
     it.has_watermarks = true;
     it.self = node_.peers.self();
+    it.suspects = node_.suspects.refused(max_suspects, now);
     std::vector<const peer*> local;
     std::vector<const peer*> distant;
     for (const auto* peer : node_.peers.live(now)) {
@@ -207,11 +211,8 @@
     if (it.requests_hello) {
         send_hello_to(sender->info, false);
     }
-    for (const auto& info : it.known) {
-        if (node_.peers.learn(info, now)) {
-            send_hello_to(info, true);
-        }
-    }
+    contact_new_nodes(it.known, now);
+    node_.suspects.merge(it.suspects, now);
     if (node_.peers.relation(*node_.peers.find(it.node)) == peer_relation::same_cell) {
         apply_loads(it, now);
     }
@@ -220,6 +221,14 @@
     }
 }
 
+void gateway_node::contact_new_nodes(const std::vector<node_info>& known, instant now) {
+    for (const auto& info : known) {
+        if (node_.peers.learn(info, now)) {
+            send_hello_to(info, true);
+        }
+    }
+}
+
 void gateway_node::apply_loads(const node_message& it, instant now) {
     node_.loads.set_peer_in_flight(it.node, it.in_flight);
     node_.shares.update_demand(it.node, node_.peers.find(it.node)->info.failure_domain, it.waiting, now);
--- a/modules/berylcrank_gateway/node/node_handlers.cpp
+++ b/modules/berylcrank_gateway/node/node_handlers.cpp
@@ -120,6 +120,11 @@
         node_.metrics.set_gauge("live_nodes", static_cast<double>(node_.peers.live(now).size() + 1));
         node_.metrics.set_gauge("upstreams", static_cast<double>(node_.upstreams.all().size()));
         node_.metrics.set_gauge("waiting_requests", static_cast<double>(node_.waiting.size()));
+        node_.metrics.set_gauge("suspects", static_cast<double>(node_.suspects.size()));
+        node_.metrics.set_gauge("suspect_losses", static_cast<double>(node_.suspects.losses()));
+        node_.metrics.set_gauge("suspect_refusals", static_cast<double>(node_.suspects.refusals()));
+        node_.metrics.set_gauge("suspect_false_refusals",
+                                static_cast<double>(node_.suspects.false_refusals()));
         node_.metrics.set_gauge("unreadable_datagrams", static_cast<double>(unreadable_datagrams_()));
         node_.metrics.set_gauge("log_lines_left_out", static_cast<double>(node_.log.dropped_lines()));
         it->respond(200, reason_phrase(200), {{"Content-Type", "text/plain; version=0.0.4"}},
--- a/modules/berylcrank_gateway/peers/node_message.h
+++ b/modules/berylcrank_gateway/peers/node_message.h
@@ -4,6 +4,7 @@
 #include "modules/berylcrank_balance/catalog/state_record.h"
 #include "modules/berylcrank_balance/load/load_snapshot.h"
 #include "modules/berylcrank_balance/peers/peer_table.h"
+#include "modules/berylcrank_suspect/table/suspect_table.h"
 
 #include <array>
 #include <optional>
@@ -47,8 +48,9 @@
     std::uint32_t heartbeat{0};    ///< Grows while the sender runs.
     bool store_unreachable{false}; ///< The sender cannot read the store.
     std::vector<roster_entry> roster;
-    std::vector<waiting_count> waiting; ///< Requests that wait at the sender for a free slot.
-    std::vector<std::uint32_t> leaving; ///< Upstreams that announced their stop to the sender.
+    std::vector<waiting_count> waiting;   ///< Requests that wait at the sender for a free slot.
+    std::vector<std::uint32_t> leaving;   ///< Upstreams that announced their stop to the sender.
+    std::vector<suspect_report> suspects; ///< Instants are on the local clock.
 };
 
 /** A range of records of one source and the watermark of its sender. */
--- a/modules/berylcrank_gateway/server/exchange.h
+++ b/modules/berylcrank_gateway/server/exchange.h
@@ -19,12 +19,14 @@
 class exchange : public std::enable_shared_from_this<exchange> {
 public:
     exchange(const std::shared_ptr<server_connection>& connection, request_head request, std::string content,
-             instant when)
-        : head(std::move(request)), body(std::move(content)), received(when), connection_(connection) {}
+             std::string caller_address, instant when)
+        : head(std::move(request)), body(std::move(content)), caller(std::move(caller_address)),
+          received(when), connection_(connection) {}
 
     const request_head head;
     const std::string body;
-    const instant received; ///< Arrival of the last byte of the request.
+    const std::string caller; ///< IP address of the caller.
+    const instant received;   ///< Arrival of the last byte of the request.
 
     /** Called once if the caller disconnects before the response is complete. */
     std::function<void()> on_disconnect;
--- a/modules/berylcrank_gateway/server/server_connection.cpp
+++ b/modules/berylcrank_gateway/server/server_connection.cpp
@@ -23,6 +23,10 @@
     boost::system::error_code ec;
     socket_.non_blocking(true, ec);
     socket_.set_option(boost::asio::ip::tcp::no_delay(true), ec);
+    const auto peer = socket_.remote_endpoint(ec);
+    if (!ec) {
+        caller_ = peer.address().to_string();
+    }
 }
 
 void server_connection::start() {
@@ -110,7 +114,7 @@
     reading_message_ = false;
     no_more_requests_ = !parser->head.keep_alive;
     const auto it = std::make_shared<exchange>(shared_from_this(), std::move(parser->head),
-                                               std::move(parser->body), context_.time.now());
+                                               std::move(parser->body), caller_, context_.time.now());
     pipeline_.push_back(it);
     context_.handler.handle(it);
 }
@@ -120,7 +124,7 @@
     reading_message_ = false;
     no_more_requests_ = true;
     const auto it = std::make_shared<exchange>(shared_from_this(), request_head{.keep_alive = false}, "",
-                                               context_.time.now());
+                                               caller_, context_.time.now());
     pipeline_.push_back(it);
     it->respond(status, reason_phrase(status), {}, "");
 }
--- a/modules/berylcrank_gateway/server/server_connection.h
+++ b/modules/berylcrank_gateway/server/server_connection.h
@@ -86,6 +86,7 @@
     boost::asio::ip::tcp::socket socket_;
     listener_context& context_;
     socket_writer writer_;
+    std::string caller_; // IP address
     std::unique_ptr<request_parser> parser_;
     std::deque<exchange_ptr> pipeline_;
     std::string unparsed_; // bytes that arrived while the pipeline was full
--- a/modules/berylcrank_routing/berylcrank_routing.h
+++ b/modules/berylcrank_routing/berylcrank_routing.h
@@ -5,11 +5,10 @@
 
     Areas: policy (load balancing policies, upstream statistics, subsets), limits (concurrency limits,
     admission queue), retry (retry budget and rule), outlier (outlier ejection), probe (probe budget), cold
-    (admission control for cold upstreams), suspect (requests that crash upstreams), service (facade that
-    combines these for one service at one node).
+    (admission control for cold upstreams), service (facade that combines these for one service at one node).
 
-    Dependencies: berylcrank_core, berylcrank_config (objects of tickets), berylcrank_membership (crash
-    reports), Abseil, xxhash. Does no I/O: time, randomness and messages are arguments.
+    Dependencies: berylcrank_core, berylcrank_config (objects of tickets), Abseil, xxhash. Does no I/O: time,
+   randomness and messages are arguments.
 */
 
 #include "modules/berylcrank_routing/retry/retry_rule.h"
--- /dev/null
+++ b/modules/berylcrank_suspect/berylcrank_suspect.h
@@ -0,0 +1,12 @@
+#pragma once
+
+/** @file
+    Module berylcrank_suspect: recognizes requests that crash the upstreams that run them.
+
+    Areas: table (suspects of a node and what nodes tell each other about them).
+
+    Dependencies: berylcrank_core, Abseil, xxhash. Does no I/O; time is passed in. Thread-safe.
+*/
+
+#include "modules/berylcrank_suspect/table/request_fingerprint.h"
+#include "modules/berylcrank_suspect/table/suspect_table.h"
--- /dev/null
+++ b/modules/berylcrank_suspect/table/suspect_table.cpp
@@ -0,0 +1,305 @@
+#include "modules/berylcrank_suspect/table/suspect_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace berylcrank {
+
+namespace {
+
+using action_kind = suspect_verdict::action_kind;
+
+constexpr std::size_t max_losses = 8; // per suspect
+constexpr millis expiry_interval{1000};
+constexpr millis trial_retry{1000}; // after which a copy that comes during a trial may return
+
+} // namespace
+
+std::uint32_t suspect_table::crashes_in_sequence(const suspect& it) {
+    std::uint32_t crashes = 0;
+    instant last;
+    for (const auto& loss : it.losses) {
+        if (crashes == 0 || loss.sent_at >= last) {
+            ++crashes;
+            last = loss.lost_at;
+        }
+    }
+    return crashes;
+}
+
+millis suspect_table::refusal_after(std::uint32_t crashes) const {
+    const auto doublings = static_cast<int>(crashes - options_.crashes_to_refuse);
+    return std::min(options_.max_refusal, options_.refusal * static_cast<double>(1U << doublings));
+}
+
+instant suspect_table::forget_at(const suspect& it) const {
+    auto last = it.cleared_at.value_or(instant{});
+    if (!it.losses.empty()) {
+        const auto crashes = crashes_in_sequence(it);
+        const auto refusal = crashes >= options_.crashes_to_refuse ? refusal_after(crashes) : millis{};
+        last = std::max(last, it.losses.back().lost_at + refusal);
+    }
+    return last + options_.lifetime;
+}
+
+void suspect_table::drop_survived(suspect& it) const {
+    std::erase_if(it.losses, has_survived_);
+}
+
+void suspect_table::mark_changed(suspect& it) const {
+    it.copies_left = options_.report_copies;
+}
+
+suspect_verdict suspect_table::check(std::uint64_t fingerprint, instant now) {
+    const lock_guard lock(mutex_);
+    if (now >= next_expiry_) {
+        expire(now);
+    }
+    const auto at = suspects_.find(fingerprint);
+    if (at == suspects_.end()) {
+        return {};
+    }
+    auto& it = at->second;
+    drop_survived(it);
+    const auto crashes = crashes_in_sequence(it);
+    if (crashes < options_.crashes_to_refuse) {
+        return {};
+    }
+    const auto last = it.losses.back().lost_at;
+    const auto until = last + refusal_after(crashes);
+    const bool in_trial = it.trial_started && now - *it.trial_started < options_.trial_timeout;
+    if (now >= until && !in_trial) {
+        it.trial_started = now;
+        mark_changed(it); // the other nodes start no trial meanwhile
+        return {.action = action_kind::trial};
+    }
+    ++it.refusals;
+    ++refusals_;
+    const auto left = now < until ? until - now : trial_retry;
+    const auto undecided = last + options_.evidence_time - now;
+    return {.action = action_kind::refuse, .retry_after = undecided > millis{} ? undecided : left};
+}
+
+bool suspect_table::allows_retry(std::uint64_t fingerprint) {
+    const lock_guard lock(mutex_);
+    const auto at = suspects_.find(fingerprint);
+    if (at == suspects_.end()) {
+        return true;
+    }
+    drop_survived(at->second);
+    return crashes_in_sequence(at->second) + 1 < options_.crashes_to_refuse;
+}
+
+suspect_table::suspect* suspect_table::find_or_add(std::uint64_t fingerprint, instant now) {
+    const auto at = suspects_.find(fingerprint);
+    if (at != suspects_.end()) {
+        return &at->second;
+    }
+    if (suspects_.size() >= options_.max_suspects) {
+        expire(now);
+    }
+    return suspects_.size() < options_.max_suspects ? &suspects_[fingerprint] : nullptr;
+}
+
+void suspect_table::add_loss(suspect& it, const upstream_loss& loss) {
+    if (it.cleared_at && loss.lost_at <= *it.cleared_at) {
+        return;
+    }
+    const auto same =
+        std::ranges::find_if(it.losses, [&](const auto& known) { return known.same_run(loss); });
+    if (same != it.losses.end()) {
+        // Times of other nodes are estimates that are late by the time that the report took.
+        if (loss.lost_at < same->lost_at) {
+            *same = loss;
+        }
+    } else {
+        it.losses.push_back(loss);
+    }
+    std::ranges::sort(it.losses, {}, &upstream_loss::lost_at);
+    if (it.losses.size() > max_losses) {
+        it.losses.erase(it.losses.begin());
+    }
+}
+
+std::uint32_t suspect_table::on_lost(std::uint64_t fingerprint, const upstream_loss& loss, instant now) {
+    const lock_guard lock(mutex_);
+    auto* it = find_or_add(fingerprint, now);
+    if (it == nullptr) {
+        return 0;
+    }
+    it->trial_started.reset();
+    drop_survived(*it);
+    add_loss(*it, loss);
+    mark_changed(*it);
+    return crashes_in_sequence(*it);
+}
+
+void suspect_table::clear(suspect_map::iterator it, instant when) {
+    auto& entry = it->second;
+    false_refusals_ += std::exchange(entry.refusals, 0);
+    if (!entry.is_shared) {
+        suspects_.erase(it);
+        return;
+    }
+    // Kept, so that older reports of other nodes do not restore the losses.
+    entry.cleared_at = std::max(entry.cleared_at.value_or(when), when);
+    entry.trial_started.reset();
+    std::erase_if(entry.losses, [&](const auto& loss) { return loss.lost_at <= *entry.cleared_at; });
+}
+
+void suspect_table::on_success(std::uint64_t fingerprint, instant now) {
+    const lock_guard lock(mutex_);
+    const auto at = suspects_.find(fingerprint);
+    if (at == suspects_.end()) {
+        return;
+    }
+    at->second.trial_started.reset();
+    if (!at->second.losses.empty()) {
+        mark_changed(at->second);
+        clear(at, now);
+    }
+}
+
+void suspect_table::on_trial_unused(std::uint64_t fingerprint) {
+    const lock_guard lock(mutex_);
+    if (const auto at = suspects_.find(fingerprint); at != suspects_.end()) {
+        at->second.trial_started.reset();
+    }
+}
+
+void suspect_table::merge_trial(suspect& it, const suspect_report& report) const {
+    // A trial that has ended in a crash is over, also if its start is reported later.
+    const auto last_crash = report.losses.empty() ? instant{} : report.losses.back().lost_at;
+    if (report.trial_started && *report.trial_started >= last_crash) {
+        it.trial_started = std::max(it.trial_started.value_or(instant{}), *report.trial_started);
+    } else if (it.trial_started && last_crash > *it.trial_started) {
+        it.trial_started.reset();
+    }
+}
+
+void suspect_table::merge(std::span<const suspect_report> reports, instant now) {
+    const lock_guard lock(mutex_);
+    for (const auto& report : reports) {
+        auto* it = find_or_add(report.fingerprint, now);
+        if (it == nullptr) {
+            continue;
+        }
+        it->is_shared = true;
+        if (report.cleared_at && (!it->cleared_at || *report.cleared_at > *it->cleared_at)) {
+            clear(suspects_.find(report.fingerprint), *report.cleared_at);
+        }
+        merge_trial(*it, report);
+        const auto known = it->losses.size();
+        for (const auto& loss : report.losses) {
+            add_loss(*it, loss);
+        }
+        // The sender has missed that the suspect was cleared.
+        if (it->losses.size() == known && known == 0 && !report.losses.empty()) {
+            mark_changed(*it);
+        }
+    }
+}
+
+bool suspect_table::is_worth_reporting(const suspect& it, instant now) const {
+    if (it.cleared_at && it.losses.empty()) {
+        return true;
+    }
+    // Most single losses are withdrawn within this time: by a retry that succeeds, or by the upstream.
+    return !it.losses.empty() &&
+           (crashes_in_sequence(it) > 1 || now - it.losses.back().lost_at >= options_.evidence_time);
+}
+
+suspect_report suspect_table::make_report(std::uint64_t fingerprint, const suspect& it) {
+    return {.fingerprint = fingerprint,
+            .cleared_at = it.cleared_at,
+            .trial_started = it.trial_started,
+            .losses = it.losses};
+}
+
+std::vector<suspect_report> suspect_table::take_changes(std::size_t limit, instant now) {
+    const lock_guard lock(mutex_);
+    if (now >= next_expiry_) {
+        expire(now);
+    }
+    std::vector<suspect_map::iterator> changed;
+    for (auto at = suspects_.begin(); at != suspects_.end(); ++at) {
+        if (at->second.copies_left > 0) {
+            drop_survived(at->second);
+            if (is_worth_reporting(at->second, now)) {
+                changed.push_back(at);
+            }
+        }
+    }
+    std::ranges::sort(changed, std::greater{}, [](const auto& at) { return at->second.losses.size(); });
+    changed.resize(std::min(changed.size(), limit));
+    std::vector<suspect_report> result;
+    for (const auto& at : changed) {
+        --at->second.copies_left;
+        at->second.is_shared = true;
+        result.push_back(make_report(at->first, at->second));
+    }
+    return result;
+}
+
+std::vector<suspect_report> suspect_table::refused(std::size_t limit, instant now) {
+    const lock_guard lock(mutex_);
+    if (now >= next_expiry_) {
+        expire(now);
+    }
+    std::vector<suspect_report> result;
+    for (auto& [fingerprint, it] : suspects_) {
+        drop_survived(it);
+        if (crashes_in_sequence(it) >= options_.crashes_to_refuse) {
+            it.is_shared = true;
+            result.push_back(make_report(fingerprint, it));
+        }
+    }
+    std::ranges::sort(result, std::greater{},
+                      [](const suspect_report& it) { return it.losses.back().lost_at; });
+    result.resize(std::min(result.size(), limit));
+    return result;
+}
+
+void suspect_table::expire(instant now) {
+    next_expiry_ = now + expiry_interval;
+    absl::erase_if(suspects_, [&](auto& entry) {
+        auto& it = entry.second;
+        drop_survived(it);
+        if (it.losses.empty() && !it.cleared_at) {
+            false_refusals_ += it.refusals;
+            return true;
+        }
+        return now >= forget_at(it);
+    });
+}
+
+bool suspect_table::empty() const {
+    const lock_guard lock(mutex_);
+    return suspects_.empty();
+}
+
+std::size_t suspect_table::size() const {
+    const lock_guard lock(mutex_);
+    return suspects_.size();
+}
+
+std::size_t suspect_table::losses() const {
+    const lock_guard lock(mutex_);
+    std::size_t n = 0;
+    for (const auto& [fingerprint, it] : suspects_) {
+        n += it.losses.size();
+    }
+    return n;
+}
+
+std::uint64_t suspect_table::refusals() const {
+    const lock_guard lock(mutex_);
+    return refusals_;
+}
+
+std::uint64_t suspect_table::false_refusals() const {
+    const lock_guard lock(mutex_);
+    return false_refusals_;
+}
+
+} // namespace berylcrank
--- a/standins/platform_worker/worker.cpp
+++ b/standins/platform_worker/worker.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
+#include <cstdlib>
 #include <utility>
 
 namespace berylcrank::standin {
@@ -175,6 +176,9 @@
 }
 
 void worker::run(const job& it) {
+    if (!behaviour_.crash_target.empty() && it.head.target == behaviour_.crash_target) {
+        std::_Exit(EXIT_FAILURE);
+    }
     ++running_;
     ++runs_[header(it.head, "Request-Id")];
     auto timer = std::make_shared<boost::asio::steady_timer>(
@@ -301,6 +305,8 @@
             behaviour_.mode = pair.second;
         } else if (pair.first == "retry-after") {
             behaviour_.retry_after = pair.second;
+        } else if (pair.first == "crash") {
+            behaviour_.crash_target = pair.second;
         } else if (pair.first == "leaving") {
             behaviour_.leaving = pair.second == "1";
         } else if (int bytes = 0;
--- a/tests/gateway/message_test.cpp
+++ b/tests/gateway/message_test.cpp
@@ -107,10 +107,41 @@
     CHECK_FALSE(decode_message(encode(huge, at(1)), at(1)));
 }
 
+// Guards against reports of suspects that lose a field, or whose times shift, on their way to another node.
+TEST_CASE("node_message, suspects, arrive with all fields and times on the receiver's clock") {
+    const instant sent{millis{100000}};
+    const instant received{millis{5000}}; // the clocks of two nodes have different origins
+    const auto at = [](instant now, int age) { return now - millis{age}; };
+    const node_message it{.node = 7,
+                          .suspects = {{.fingerprint = ~0ULL,
+                                        .cleared_at = at(sent, 900),
+                                        .trial_started = at(sent, 30),
+                                        .losses = {{.upstream = ~0U,
+                                                    .run = 1700000000001,
+                                                    .sent_at = at(sent, 500),
+                                                    .lost_at = at(sent, 400)}}}}};
+    const auto decoded = decode_message(encode(it, sent), received);
+    REQUIRE(decoded);
+    REQUIRE(decoded->suspects.size() == 1);
+    const auto& suspect = decoded->suspects.front();
+    CHECK(suspect.fingerprint == ~0ULL);
+    CHECK(suspect.cleared_at == at(received, 900));
+    CHECK(suspect.trial_started == at(received, 30));
+    REQUIRE(suspect.losses.size() == 1);
+    CHECK(suspect.losses[0].same_run(it.suspects[0].losses[0]));
+    CHECK(suspect.losses[0].sent_at == at(received, 500));
+    CHECK(suspect.losses[0].lost_at == at(received, 400));
+}
+
 // Guards against a datagram or state response that ends the process when it is cut or altered anywhere.
 TEST_CASE("node_message, bytes cut or altered at any place, are decoded or rejected") {
     const node_info info{.name = "n", .ip = "10.0.0.1", .gossip_port = 7540, .front_address = "10.0.0.1:80"};
-    node_message it{.node = 7, .has_watermarks = true, .self = info, .known = {info}, .leaving = {3}};
+    node_message it{.node = 7,
+                    .has_watermarks = true,
+                    .self = info,
+                    .known = {info},
+                    .leaving = {3},
+                    .suspects = {{.fingerprint = 1, .losses = {{.upstream = 2, .run = 3}}}}};
     it.loads.push_back({.upstream = 11, .report = load_snapshot{.running = 3, .at = at(980)}});
     state_response state;
     state[0].records.push_back({.key = "config", .offset = 3, .value = std::string(300, 'c')});
--- /dev/null
+++ b/tests/process/gateway_crash_test.cpp
@@ -0,0 +1,152 @@
+#include "tests/support/platform_deployment.h"
+
+#include <algorithm>
+#include <csignal>
+#include <doctest/doctest.h>
+#include <thread>
+
+namespace berylcrank::testing {
+
+namespace {
+
+/** Two nodes in front of upstreams that end when they begin to run a request for `/l/poison` or `/o/poison`.
+ */
+struct gateway_crash_fixture {
+    static constexpr int workers = 6;
+    /** Crashes after which a request is refused. */
+    static constexpr int crashes_allowed = 3;
+
+    platform_deployment subject{2, workers};
+    int ids{0};
+
+    gateway_crash_fixture() {
+        for (auto& it : subject.workers()) {
+            subject.configure_worker(it, it.service == "orders" ? "crash=/o/poison" : "crash=/l/poison");
+        }
+    }
+
+    test_response send_to(const platform_node& node, const std::string& method, const std::string& path) {
+        return platform_deployment::request(node, method, path, "c-" + std::to_string(++ids), "x");
+    }
+
+    int crashed(const std::string& service) {
+        const auto all = subject.workers_of(service);
+        return static_cast<int>(std::ranges::count_if(all, [](const auto* it) {
+            return !send({.address = it->address, .path = "/runs"}).is_connected;
+        }));
+    }
+
+    // Value of a metric of kind `kind`, or -1 if it is missing.
+    static double level(const platform_node& node, const std::string& kind) {
+        const auto text = send({.address = node.control, .path = "/metrics"}).body;
+        const auto at = text.find("kind=\"" + kind + "\"} ");
+        return at == std::string::npos ? -1 : std::stod(text.substr(text.find(' ', at)));
+    }
+
+    // Sends a request to the nodes in turn, `times` times in all. Returns the responses.
+    std::vector<test_response> repeat(const std::string& method, const std::string& path, int times) {
+        std::vector<test_response> result;
+        for (int n = 0; n < times; ++n) {
+            const auto& node = subject.nodes()[static_cast<std::size_t>(n) % 2];
+            result.push_back(send_to(node, method, path));
+            wait_until("the nodes have told each other", [&] {
+                const auto losses = level(subject.nodes()[0], "suspect_losses");
+                return losses != 0 && losses == level(subject.nodes()[1], "suspect_losses");
+            });
+        }
+        return result;
+    }
+};
+
+} // namespace
+
+// Guards against a request that its caller repeats, under a new id and at any node, until it has crashed
+// every upstream, and against losing the orders and lookups of others on them.
+TEST_CASE_FIXTURE(gateway_crash_fixture,
+                  "gateway, lookup crashes each upstream that runs it, is refused and others are served") {
+    const auto responses = repeat("GET", "/l/poison", 6);
+    CHECK(crashed("lookups") <= crashes_allowed);
+    CHECK(responses.back().status == 503);
+    wait_until("the refusal lasts, since no crashed upstream has responded", [&] {
+        const auto response = send_to(subject.nodes().front(), "GET", "/l/poison");
+        CHECK(response.status == 503);
+        return response.status != 503 || std::stod(response.header("Retry-After")) > 1;
+    });
+    CHECK(crashed("lookups") <= crashes_allowed);
+    for (int n = 0; n < 10; ++n) {
+        CHECK(send_to(subject.nodes()[static_cast<std::size_t>(n) % 2], "GET", "/l/a").status == 200);
+    }
+    CHECK(level(subject.nodes()[1], "suspect_false_refusals") <= 0);
+}
+
+// Guards against a request that must not be repeated and that its caller sends anew after each failure.
+TEST_CASE_FIXTURE(gateway_crash_fixture,
+                  "gateway, order crashes each upstream that runs it, is refused and others are served") {
+    const auto responses = repeat("POST", "/o/poison", 6);
+    CHECK(responses.front().status == 502); // it may have run
+    CHECK(crashed("orders") <= crashes_allowed);
+    CHECK(responses.back().status == 503);
+    for (int n = 0; n < 10; ++n) {
+        CHECK(send_to(subject.nodes()[static_cast<std::size_t>(n) % 2], "POST", "/o/a").status == 200);
+    }
+}
+
+// Guards against a node that forgets by a restart which requests crash upstreams.
+TEST_CASE_FIXTURE(gateway_crash_fixture,
+                  "gateway, node has just started, refuses what crashed upstreams before") {
+    repeat("GET", "/l/poison", 4);
+    const auto before = crashed("lookups");
+    subject.stop_and_remove(0);
+    const auto& started = subject.start_node();
+    platform_deployment::wait_ready(started);
+    wait_until("the other node has told it", [&] { return level(started, "suspects") != 0; });
+    CHECK(send_to(started, "GET", "/l/poison").status == 503);
+    CHECK(crashed("lookups") == before);
+}
+
+// Guards against refusing harmless requests because their connections were lost: when several upstreams crash
+// at once, and when upstreams that go on running lose their responses.
+TEST_CASE_FIXTURE(gateway_crash_fixture, "gateway, connections of harmless requests are lost, refuses none") {
+    for (const auto* it : subject.workers_of("orders")) {
+        subject.configure_worker(*it, "mode=reset");
+    }
+    for (int n = 0; n <= crashes_allowed; ++n) {
+        CHECK(send_to(subject.nodes().front(), "POST", "/o/a").status == 502);
+        wait_until("the upstream has responded to a probe",
+                   [&] { return level(subject.nodes().front(), "suspect_losses") <= 0; });
+    }
+    std::vector<std::thread> callers;
+    std::vector<int> statuses(8);
+    for (const auto* it : subject.workers_of("files")) {
+        subject.configure_worker(*it, "work=400");
+    }
+    for (auto& status : statuses) {
+        callers.emplace_back([&, this] {
+            status = platform_deployment::request(subject.nodes().front(), "GET", "/f/a",
+                                                  "f-" + std::to_string(&status - statuses.data()))
+                         .status;
+        });
+    }
+    wait_until("all run", [&] {
+        int running = 0;
+        for (std::size_t n = 0; n < statuses.size(); ++n) {
+            running += subject.execution_count("f-" + std::to_string(n));
+        }
+        return running == static_cast<int>(statuses.size());
+    });
+    for (std::size_t n = 0; n < 3; ++n) {
+        subject.workers_of("files")[n]->process->send(SIGKILL);
+    }
+    for (auto& it : callers) {
+        it.join();
+    }
+    for (std::size_t n = 0; n < statuses.size(); ++n) {
+        // Both attempts of a download may have met a killed upstream; the same request is served then.
+        CHECK((statuses[n] == 200 || statuses[n] == 502));
+        CHECK(send_to(subject.nodes()[n % 2], "GET", "/f/a").status == 200);
+    }
+    const auto metrics = send({.address = subject.nodes().front().control, .path = "/metrics"}).body;
+    CHECK(metrics.find("suspect-refused") == std::string::npos);
+}
+
+} // namespace berylcrank::testing
--- /dev/null
+++ b/tests/suspect/suspect_test.cpp
@@ -0,0 +1,285 @@
+#include "modules/berylcrank_core/random/random_source.h"
+#include "modules/berylcrank_suspect/berylcrank_suspect.h"
+
+#include <doctest/doctest.h>
+#include <set>
+#include <utility>
+
+namespace berylcrank {
+
+namespace {
+
+using action_kind = suspect_verdict::action_kind;
+
+// Two nodes that exchange all their reports with `exchange_reports`.
+struct suspect_fixture {
+    static constexpr std::uint64_t request = 42;
+    static constexpr std::uint64_t bystander = 43;
+
+    std::set<std::pair<std::uint32_t, std::uint64_t>> survivors;
+    suspect_table::options options;
+    suspect_table first{options, [this](const upstream_loss& it) { return has_survived(it); }};
+    suspect_table second{options, [this](const upstream_loss& it) { return has_survived(it); }};
+    instant now{millis{1000}};
+    std::uint32_t next_upstream{1};
+
+    [[nodiscard]] bool has_survived(const upstream_loss& it) const {
+        return survivors.contains({it.upstream, it.run});
+    }
+
+    // Sends a request to an upstream that has not been used yet, which crashes after `duration`.
+    void crash(suspect_table& at, std::uint64_t fingerprint, millis duration = millis{5}) {
+        const auto sent = now;
+        now = now + duration;
+        at.on_lost(fingerprint, {.upstream = next_upstream++, .run = 1, .sent_at = sent, .lost_at = now},
+                   now);
+    }
+
+    void exchange_reports() {
+        const auto from_first = first.take_changes(100, now);
+        const auto from_second = second.take_changes(100, now);
+        second.merge(from_first, now);
+        first.merge(from_second, now);
+    }
+
+    action_kind action(suspect_table& at, std::uint64_t fingerprint = request) {
+        return at.check(fingerprint, now).action;
+    }
+};
+
+} // namespace
+
+// Guards against a request that crashes one upstream after the other, sent by its caller to several nodes.
+TEST_CASE_FIXTURE(suspect_fixture,
+                  "suspect_table, crashes in sequence at two nodes, all nodes refuse the request") {
+    crash(first, request);
+    crash(first, request);
+    CHECK(action(first) == action_kind::run);
+    exchange_reports();
+    crash(second, request);
+    CHECK(action(second) == action_kind::refuse);
+    exchange_reports();
+    CHECK(action(first) == action_kind::refuse);
+    CHECK(first.check(request, now).retry_after <= options.refusal);
+    CHECK(action(first, bystander) == action_kind::run);
+}
+
+// Guards against a trial of several copies at once, and against a refusal that ends without a trial.
+TEST_CASE_FIXTURE(suspect_fixture,
+                  "suspect_table, refusal has passed, allows one trial and refuses for twice the time") {
+    for (int n = 0; n < 3; ++n) {
+        crash(first, request);
+    }
+    now = now + options.refusal - millis{1};
+    CHECK(action(first) == action_kind::refuse);
+    now = now + millis{1};
+    CHECK(action(first) == action_kind::trial);
+    CHECK(action(first) == action_kind::refuse);
+    first.on_trial_unused(request);
+    CHECK(action(first) == action_kind::trial);
+    exchange_reports();
+    CHECK(action(second) == action_kind::refuse); // one trial at a time, at all nodes
+    CHECK_FALSE(first.allows_retry(request));
+    crash(first, request);
+    exchange_reports();
+    now = now + options.refusal * 2.0 - millis{1};
+    CHECK(action(first) == action_kind::refuse);
+    CHECK(action(second) == action_kind::refuse);
+    now = now + millis{1};
+    CHECK(action(second) == action_kind::trial);
+}
+
+// Guards against a node that sends a suspect again by itself when one more crash would lead to its refusal.
+TEST_CASE_FIXTURE(suspect_fixture, "suspect_table, one crash is left until the refusal, allows no retry") {
+    crash(first, request);
+    CHECK(first.allows_retry(request));
+    crash(first, request);
+    CHECK_FALSE(first.allows_retry(request));
+    CHECK(first.allows_retry(bystander));
+}
+
+// Guards against a harmless request that stays refused, and against reports on their way that restore it.
+TEST_CASE_FIXTURE(
+    suspect_fixture,
+    "suspect_table, success, clears the suspect at all nodes and old reports do not restore it") {
+    for (int n = 0; n < 3; ++n) {
+        crash(first, request);
+    }
+    const auto old = first.take_changes(100, now);
+    second.merge(old, now);
+    REQUIRE(action(second) == action_kind::refuse);
+    now = now + options.refusal;
+    REQUIRE(action(first) == action_kind::trial);
+    first.on_success(request, now);
+    exchange_reports();
+    CHECK(action(first) == action_kind::run);
+    CHECK(action(second) == action_kind::run);
+    CHECK(second.false_refusals() == 1);
+    second.merge(old, now); // repeated by another node
+    first.merge(old, now);
+    CHECK(action(first) == action_kind::run);
+    CHECK(action(second) == action_kind::run);
+}
+
+// Guards against refusing innocent requests that were in flight when a suspect crashed an upstream.
+TEST_CASE_FIXTURE(suspect_fixture, "suspect_table, request in flight at a crash, is not refused") {
+    for (int n = 0; n < 3; ++n) {
+        crash(first, request);
+        first.on_lost(bystander,
+                      {.upstream = next_upstream - 1, .run = 1, .sent_at = instant{}, .lost_at = now}, now);
+    }
+    CHECK(action(first) == action_kind::refuse);
+    CHECK(action(first, bystander) == action_kind::run); // all its copies were sent before the first crash
+}
+
+// Guards against refusing popular requests after the loss of a failure domain.
+TEST_CASE_FIXTURE(suspect_fixture,
+                  "suspect_table, several upstreams lost at once, does not refuse the request") {
+    const auto sent = now;
+    now = now + millis{50};
+    for (std::uint32_t n = 0; n < 20; ++n) {
+        auto& at = n % 2 == 0 ? first : second;
+        at.on_lost(request, {.upstream = 100 + n, .run = 1, .sent_at = sent, .lost_at = now + millis{n}},
+                   now);
+    }
+    exchange_reports();
+    CHECK(action(first) == action_kind::run);
+    CHECK(action(second) == action_kind::run);
+    CHECK(first.allows_retry(request));
+}
+
+// Guards against refusing requests whose responses were lost although the upstreams still run.
+TEST_CASE_FIXTURE(suspect_fixture,
+                  "suspect_table, upstream responds after the loss, the loss does not count") {
+    for (int n = 0; n < 3; ++n) {
+        crash(first, request);
+    }
+    const auto verdict = first.check(request, now);
+    CHECK(verdict.action == action_kind::refuse);
+    CHECK(verdict.retry_after <= options.evidence_time);
+    survivors.insert({next_upstream - 1, 1});
+    CHECK(action(first) == action_kind::run);
+    survivors.insert({next_upstream - 2, 1});
+    survivors.insert({next_upstream - 3, 1});
+    now = now + millis{2000};
+    CHECK(first.take_changes(100, now).empty());
+    CHECK(first.empty());
+    CHECK(first.false_refusals() == 1);
+}
+
+// Guards against a crash that counts twice because several nodes or messages report it.
+TEST_CASE_FIXTURE(suspect_fixture, "suspect_table, crash reported twice, counts once") {
+    crash(first, request);
+    crash(first, request);
+    now = now + options.evidence_time;
+    for (int n = 0; n < 3; ++n) {
+        const auto reports = first.take_changes(100, now);
+        now = now + millis{20}; // each copy arrives later, so its times are estimated later
+        second.merge(reports, now);
+        first.merge(reports, now);
+    }
+    CHECK(action(first) == action_kind::run);
+    CHECK(action(second) == action_kind::run);
+}
+
+// Guards against a node that sends a refused request to upstreams again because it has just started.
+TEST_CASE_FIXTURE(suspect_fixture, "suspect_table, node has just started, learns the refused requests") {
+    for (int n = 0; n < 3; ++n) {
+        crash(first, request);
+    }
+    crash(first, bystander);
+    suspect_table started(options, [](const upstream_loss&) { return false; });
+    started.merge(first.refused(8, now), now);
+    CHECK(action(started) == action_kind::refuse);
+    CHECK(action(started, bystander) == action_kind::run);
+}
+
+// Guards against memory that grows with the number of lost connections.
+TEST_CASE_FIXTURE(suspect_fixture, "suspect_table, many suspects, is bounded and forgets them") {
+    for (std::uint64_t n = 0; n < 3 * options.max_suspects; ++n) {
+        first.on_lost(n, {.upstream = 1, .run = 1, .sent_at = now, .lost_at = now}, now);
+    }
+    CHECK(first.size() == options.max_suspects);
+    now = now + options.lifetime;
+    CHECK(action(first) == action_kind::run);
+    CHECK(first.empty());
+    for (int n = 0; n < 50; ++n) { // the refusal grows no further than to its limit
+        crash(first, request);
+    }
+    CHECK(first.check(request, now + options.evidence_time).retry_after <= options.max_refusal);
+}
+
+// Guards against identities that are equal when their fields are joined, and against one that ignores a
+// field.
+TEST_CASE("request fingerprint, any field differs, differs") {
+    const request_identity it{.method = "GET", .host = "h", .target = "/a", .caller = "1", .body = "x"};
+    const auto fingerprint = fingerprint_of(it);
+    CHECK(fingerprint == fingerprint_of(it));
+    std::set<std::uint64_t> all{fingerprint};
+    for (auto field : {&request_identity::method, &request_identity::host, &request_identity::target,
+                       &request_identity::caller, &request_identity::body}) {
+        auto other = it;
+        other.*field = "other";
+        all.insert(fingerprint_of(other));
+    }
+    all.insert(fingerprint_of({.method = "GET", .host = "h", .target = "/a1", .caller = "", .body = "x"}));
+    CHECK(all.size() == 7);
+}
+
+// Guards against a culprit that goes on to crash upstreams, or an innocent request that is refused, when
+// reports are lost, late or repeated.
+TEST_CASE("suspect_table, reports lost and late, the culprit is contained and no innocent is refused") {
+    constexpr int seeds = 200;
+    constexpr std::size_t node_count = 5;
+    constexpr std::uint64_t culprit = 1;
+    constexpr double loss = 0.2;
+    const suspect_table::options options;
+    for (int seed = 1; seed <= seeds; ++seed) {
+        CAPTURE(seed);
+        seeded_random random(static_cast<std::uint64_t>(seed));
+        std::vector<std::unique_ptr<suspect_table>> nodes;
+        for (std::size_t n = 0; n < node_count; ++n) {
+            nodes.push_back(
+                std::make_unique<suspect_table>(options, [](const upstream_loss&) { return false; }));
+        }
+        instant now{millis{1000}};
+        int crashes = 0;
+        int innocent_refusals = 0;
+        std::vector<suspect_report> late;
+        for (int round = 0; round < 40; ++round) {
+            now = now + millis{500};
+            auto& at = *nodes[random.below(node_count)];
+            const std::uint64_t innocent = 2 + random.below(4);
+            innocent_refusals += at.check(innocent, now).action == action_kind::refuse ? 1 : 0;
+            if (at.check(culprit, now).action != action_kind::refuse) {
+                const upstream_loss it{.upstream = static_cast<std::uint32_t>(++crashes),
+                                       .run = 1,
+                                       .sent_at = now,
+                                       .lost_at = now + millis{2}};
+                at.on_lost(culprit, it, now + millis{2});
+                at.on_lost(innocent, it, now + millis{2});
+            }
+            for (std::uint64_t other = 2; other < 6; ++other) { // popular requests succeed all the time
+                nodes[random.below(node_count)]->on_success(other, now + millis{3});
+                nodes[random.below(node_count)]->on_success(other, now + millis{4});
+            }
+            for (int copy = 0; copy < 3; ++copy) { // messages between two copies of the request
+                now = now + millis{25};
+                for (auto& from : nodes) {
+                    auto reports = from->take_changes(8, now);
+                    for (auto& to : nodes) {
+                        if (to != from && random.unit() >= loss) {
+                            to->merge(reports, now);
+                        }
+                    }
+                    late.insert(late.end(), reports.begin(), reports.end());
+                }
+                nodes[random.below(node_count)]->merge(late, now);
+            }
+        }
+        CHECK(crashes <= 4);
+        CHECK(innocent_refusals == 0);
+    }
+}
+
+} // namespace berylcrank
