--- a/modules/berylcrank_suspect/table/suspect_table.cpp
+++ b/modules/berylcrank_suspect/table/suspect_table.cpp
@@ -95,7 +95,7 @@
     if (at != suspects_.end()) {
         return &at->second;
     }
-    if (suspects_.size() >= options_.max_suspects) {
+    if (suspects_.size() >= options_.max_suspects && now >= next_expiry_) { // a full table is searched rarely
         expire(now);
     }
     return suspects_.size() < options_.max_suspects ? &suspects_[fingerprint] : nullptr;
