--- a/modules/berylcrank_balance/admission/stop_admission.h
+++ b/modules/berylcrank_balance/admission/stop_admission.h
@@ -15,8 +15,8 @@
 
 /** Parameters of the admission of requests at a stopping node. */
 struct stop_options {
-    /** Time in which callers learn from the directory that the node stops. Until then, requests are sent if
-        they can be expected to complete. */
+    /** Time in which callers learn from the directory that the node stops (the platform's rule for planned
+        stops, docs/platform.md). Until then, requests are sent if they can be expected to complete. */
     millis notice_time{3000};
     /** Multiple of the median duration that covers the upstream's own queue and slow upstreams. */
     double duration_factor{4};
--- a/modules/berylcrank_gateway/node/node_handlers.cpp
+++ b/modules/berylcrank_gateway/node/node_handlers.cpp
@@ -122,6 +122,7 @@
         node_.metrics.set_gauge("waiting_requests", static_cast<double>(node_.waiting.size()));
         node_.metrics.set_gauge("suspects", static_cast<double>(node_.suspects.size()));
         node_.metrics.set_gauge("suspect_losses", static_cast<double>(node_.suspects.losses()));
+        node_.metrics.set_gauge("suspects_untracked", static_cast<double>(node_.suspects.untracked()));
         node_.metrics.set_gauge("suspect_refusals", static_cast<double>(node_.suspects.refusals()));
         node_.metrics.set_gauge("suspect_false_refusals",
                                 static_cast<double>(node_.suspects.false_refusals()));
--- a/modules/berylcrank_gateway/peers/node_message.cpp
+++ b/modules/berylcrank_gateway/peers/node_message.cpp
@@ -1,5 +1,7 @@
 #include "modules/berylcrank_gateway/peers/node_message.h"
 
+#include "modules/berylcrank_gateway/peers/suspect_codec.h"
+
 #include <algorithm>
 #include <array>
 #include <boost/asio/ip/address.hpp>
@@ -23,7 +25,6 @@
 constexpr std::size_t max_list_entries = 16384; // of each list of a datagram
 constexpr std::size_t max_deflate_ratio = 1100; // zlib compresses to no less than a 1032th
 constexpr std::size_t max_text_bytes = 255;     // of each text that describes a node
-constexpr std::size_t max_losses = 64;          // of each suspect
 
 template <typename Number>
 Number clamped(double value) {
@@ -182,45 +183,6 @@
     }
 }
 
-void write(schema::Suspect::Builder to, const suspect_report& it, instant now) {
-    to.setFingerprint(it.fingerprint);
-    auto losses = to.initLosses(static_cast<unsigned>(it.losses.size()));
-    for (unsigned i = 0; i < it.losses.size(); ++i) {
-        losses[i].setUpstream(it.losses[i].upstream);
-        losses[i].setRun(it.losses[i].run);
-        losses[i].setSentAgeMs(clamped<std::uint32_t>((now - it.losses[i].sent_at).value()));
-        losses[i].setLostAgeMs(clamped<std::uint32_t>((now - it.losses[i].lost_at).value()));
-    }
-    if (it.cleared_at) {
-        to.setCleared(true);
-        to.setClearedAgeMs(clamped<std::uint32_t>((now - *it.cleared_at).value()));
-    }
-    if (it.trial_started) {
-        to.setInTrial(true);
-        to.setTrialAgeMs(clamped<std::uint32_t>((now - *it.trial_started).value()));
-    }
-}
-
-suspect_report read_suspect(schema::Suspect::Reader it, instant now) {
-    suspect_report result{.fingerprint = it.getFingerprint()};
-    if (it.getCleared()) {
-        result.cleared_at = now - millis{it.getClearedAgeMs()};
-    }
-    if (it.getInTrial()) {
-        result.trial_started = now - millis{it.getTrialAgeMs()};
-    }
-    for (const auto loss : it.getLosses()) {
-        if (result.losses.size() >= max_losses) {
-            break;
-        }
-        result.losses.push_back({.upstream = loss.getUpstream(),
-                                 .run = loss.getRun(),
-                                 .sent_at = now - millis{loss.getSentAgeMs()},
-                                 .lost_at = now - millis{loss.getLostAgeMs()}});
-    }
-    return result;
-}
-
 void read_nodes(schema::NodeMessage::Reader it, node_message& result) {
     result.roster.reserve(it.getRoster().size());
     for (const auto entry : it.getRoster()) {
@@ -266,7 +228,7 @@
         result.leaving.push_back(upstream);
     }
     for (const auto suspect : it.getSuspects()) {
-        result.suspects.push_back(read_suspect(suspect, now));
+        result.suspects.push_back(decode(suspect, now));
     }
     if (it.hasSelf()) {
         result.self = read_info(it.getSelf());
@@ -286,7 +248,7 @@
     }
     auto suspects = to.initSuspects(static_cast<unsigned>(it.suspects.size()));
     for (unsigned i = 0; i < it.suspects.size(); ++i) {
-        write(suspects[i], it.suspects[i], now);
+        encode(it.suspects[i], now, suspects[i]);
     }
 }
 
--- a/modules/berylcrank_suspect/table/suspect_table.cpp
+++ b/modules/berylcrank_suspect/table/suspect_table.cpp
@@ -98,7 +98,11 @@
     if (suspects_.size() >= options_.max_suspects && now >= next_expiry_) { // a full table is searched rarely
         expire(now);
     }
-    return suspects_.size() < options_.max_suspects ? &suspects_[fingerprint] : nullptr;
+    if (suspects_.size() >= options_.max_suspects) {
+        ++untracked_;
+        return nullptr;
+    }
+    return &suspects_[fingerprint];
 }
 
 void suspect_table::add_loss(suspect& it, const upstream_loss& loss) {
@@ -292,6 +296,11 @@
     return n;
 }
 
+std::uint64_t suspect_table::untracked() const {
+    const lock_guard lock(mutex_);
+    return untracked_;
+}
+
 std::uint64_t suspect_table::refusals() const {
     const lock_guard lock(mutex_);
     return refusals_;
--- a/modules/berylcrank_suspect/table/suspect_table.h
+++ b/modules/berylcrank_suspect/table/suspect_table.h
@@ -118,6 +118,8 @@
     [[nodiscard]] std::size_t size() const;
     /** Number of losses that count against all suspects. */
     [[nodiscard]] std::size_t losses() const;
+    /** Times that a suspect was not tracked because the table was full. */
+    [[nodiscard]] std::uint64_t untracked() const;
     /** Requests refused so far. */
     [[nodiscard]] std::uint64_t refusals() const;
     /** Requests refused so far whose suspect later proved harmless. */
@@ -151,6 +153,7 @@
     survival_check has_survived_;
     mutable mutex mutex_;
     suspect_map suspects_;
+    std::uint64_t untracked_{0};
     std::uint64_t refusals_{0};
     std::uint64_t false_refusals_{0};
     instant next_expiry_;
--- a/tests/suspect/suspect_test.cpp
+++ b/tests/suspect/suspect_test.cpp
@@ -200,6 +200,7 @@
         first.on_lost(n, {.upstream = 1, .run = 1, .sent_at = now, .lost_at = now}, now);
     }
     CHECK(first.size() == options.max_suspects);
+    CHECK(first.untracked() == 2 * options.max_suspects);
     now = now + options.lifetime;
     CHECK(action(first) == action_kind::run);
     CHECK(first.empty());
