Count crashes of a request whatever address it comes from

Cause: the fingerprint of a suspect held the caller's address. The request came from ever other addresses, and each had its own three crashes. No field of a request names its caller, and an address is no identity.

Change: a request has two entries in the table, that of its caller and that of all callers together. Crashes count against both and either refuses. A success clears the request's entry and that of its own caller only, so a request that crashes upstreams for one caller and succeeds for others is still refused to that one. Weighed: the fingerprint without the caller alone, which never refuses a request that is harmless to others; the client account, which requests do not have on deployments without accounts.

--- a/modules/berylcrank_gateway/flow/request_flow.h
+++ b/modules/berylcrank_gateway/flow/request_flow.h
@@ -73,7 +73,7 @@
     void end_at_deadline(const std::vector<std::shared_ptr<attempt>>& attempts, instant now);
     void retry_or(const std::function<void()>& fallback, std::string_view reason);
     void log_attempt_end(const attempt& it);
-    [[nodiscard]] std::uint64_t fingerprint();
+    [[nodiscard]] request_suspicion& suspicion();
     [[nodiscard]] bool suspicion_allows_retry();
     void report_crash_evidence(const attempt& it);
     void report_loss(const attempt& it, instant now);
@@ -95,8 +95,8 @@
     millis waited_before_; // time that the caller had waited in earlier attempts
     std::vector<std::shared_ptr<attempt>> attempts_;
     std::vector<std::uint32_t> tried_;
-    attempt* streamed_attempt_{nullptr};       // the attempt whose response is being streamed to the caller
-    std::optional<std::uint64_t> fingerprint_; // computed when it is first needed
+    attempt* streamed_attempt_{nullptr};         // the attempt whose response is being streamed to the caller
+    std::optional<request_suspicion> suspicion_; // created when it is first needed
     int sent_count_{0};
     int connect_failures_{0};
     bool may_have_run_{false};
--- a/modules/berylcrank_gateway/flow/request_flow_end.cpp
+++ b/modules/berylcrank_gateway/flow/request_flow_end.cpp
@@ -174,7 +174,7 @@
         node_.waiting.erase(number_);
     }
     if (is_trial_) {
-        node_.suspects.on_trial_unused(fingerprint());
+        suspicion().on_trial_unused();
     }
     cancel_attempts();
     gateway_.remove_flow(number_);
--- a/modules/berylcrank_gateway/flow/request_flow_suspect.cpp
+++ b/modules/berylcrank_gateway/flow/request_flow_suspect.cpp
@@ -5,23 +5,24 @@
 
 namespace berylcrank {
 
-std::uint64_t request_flow::fingerprint() {
-    if (!fingerprint_) {
+request_suspicion& request_flow::suspicion() {
+    if (!suspicion_) {
         const auto* host = find_header(caller_->head.headers, "Host");
-        fingerprint_ = fingerprint_of({.method = caller_->head.method,
-                                       .host = host == nullptr ? std::string_view() : *host,
-                                       .target = caller_->head.target,
-                                       .caller = caller_->caller,
-                                       .body = caller_->body});
+        suspicion_.emplace(node_.suspects,
+                           fingerprints_of({.method = caller_->head.method,
+                                            .host = host == nullptr ? std::string_view() : *host,
+                                            .target = caller_->head.target,
+                                            .caller = caller_->caller,
+                                            .body = caller_->body}));
     }
-    return *fingerprint_;
+    return *suspicion_;
 }
 
 bool request_flow::refuse_if_suspect() {
     if (node_.suspects.empty() || is_trial_) {
         return false;
     }
-    const auto verdict = node_.suspects.check(fingerprint(), node_.time.now());
+    const auto verdict = suspicion().check(node_.time.now());
     is_trial_ = verdict.action == suspect_verdict::action_kind::trial;
     if (is_trial_) {
         node_.metrics.count_event("suspect-trial");
@@ -36,7 +37,7 @@
 }
 
 bool request_flow::suspicion_allows_retry() {
-    return !is_trial_ && (node_.suspects.empty() || node_.suspects.allows_retry(fingerprint()));
+    return !is_trial_ && (node_.suspects.empty() || suspicion().allows_retry());
 }
 
 void request_flow::report_crash_evidence(const attempt& it) {
@@ -44,18 +45,19 @@
     if (it.connection_lost()) {
         report_loss(it, now);
     } else if (it.result() == send_result::response && it.head.status < 500 && !node_.suspects.empty()) {
-        node_.suspects.on_success(fingerprint(), now);
+        suspicion().on_success(now);
     }
 }
 
 void request_flow::report_loss(const attempt& it, instant now) {
     const upstream_loss loss{
         .upstream = it.target().number, .run = it.upstream_run(), .sent_at = it.started(), .lost_at = now};
-    const auto crashes = node_.suspects.on_lost(fingerprint(), loss, now);
+    const auto crashes = suspicion().on_lost(loss, now);
     if (crashes > 1) {
         node_.log.line("suspect")
             .field("request", id_)
-            .field("fingerprint", absl::StrCat(absl::Hex(fingerprint(), absl::kZeroPad16)))
+            .field("fingerprint",
+                   absl::StrCat(absl::Hex(suspicion().fingerprints().of_request, absl::kZeroPad16)))
             .field("upstream", it.target().entry.id)
             .field("crashes", static_cast<std::uint64_t>(crashes))
             .send();
--- a/modules/berylcrank_suspect/berylcrank_suspect.h
+++ b/modules/berylcrank_suspect/berylcrank_suspect.h
@@ -9,4 +9,5 @@
 */
 
 #include "modules/berylcrank_suspect/table/request_fingerprint.h"
+#include "modules/berylcrank_suspect/table/request_suspicion.h"
 #include "modules/berylcrank_suspect/table/suspect_table.h"
--- a/modules/berylcrank_suspect/table/request_fingerprint.h
+++ b/modules/berylcrank_suspect/table/request_fingerprint.h
@@ -15,7 +15,15 @@
     std::string_view body;
 };
 
-/** Returns the hash of a request's identity. It is the same in all processes and on all architectures. */
-std::uint64_t fingerprint_of(const request_identity& it);
+/** Hashes under which a request is suspected. They are the same in all processes and on all architectures. */
+struct request_fingerprints {
+    std::uint64_t of_caller{0};  ///< Hash of the whole identity.
+    std::uint64_t of_request{0}; ///< Hash of the identity without the caller.
+
+    bool operator==(const request_fingerprints&) const = default;
+};
+
+/** Returns the hashes of a request's identity. */
+request_fingerprints fingerprints_of(const request_identity& it);
 
 } // namespace berylcrank
--- a/modules/berylcrank_suspect/table/suspect_table.h
+++ b/modules/berylcrank_suspect/table/suspect_table.h
@@ -59,7 +59,7 @@
 
     Nodes exchange reports. Merging is idempotent and independent of the order of the reports. A node that has
     just started learns the suspects from the others. Thread-safe.
-    @see fingerprint_of
+    @see request_suspicion
 */
 class suspect_table {
 public:
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -86,7 +86,7 @@
 
 struct Suspect {
   fingerprint @0 :UInt64;
-  # Hash of the request's method, host, target, caller and body.
+  # Hash of the request's method, host, target and body, or of these and its caller.
   losses @1 :List(UpstreamLoss);
   cleared @2 :Bool;
   clearedAgeMs @3 :UInt32;
--- a/tests/process/gateway_crash_test.cpp
+++ b/tests/process/gateway_crash_test.cpp
@@ -29,6 +29,24 @@
         return platform_deployment::request(node, method, path, "c-" + std::to_string(++ids), "x");
     }
 
+    // Sends a lookup from the loopback address number `address`.
+    test_response send_from(int address, const platform_node& node, const std::string& path) {
+        return send({.address = node.front,
+                     .path = path,
+                     .headers = {{"Host", "shop.example"},
+                                 {"Request-Id", "c-" + std::to_string(++ids)},
+                                 {"Request-Timeout-Ms", "1500"}},
+                     .from = "127.0.0." + std::to_string(address)});
+    }
+
+    // Waits until both nodes know the same losses, at least one.
+    void wait_until_shared() {
+        wait_until("the nodes have told each other", [&] {
+            const auto losses = level(subject.nodes()[0], "suspect_losses");
+            return losses > 0 && losses == level(subject.nodes()[1], "suspect_losses");
+        });
+    }
+
     int crashed(const std::string& service) {
         const auto all = subject.workers_of(service);
         return static_cast<int>(std::ranges::count_if(all, [](const auto* it) {
@@ -49,10 +67,7 @@
         for (int n = 0; n < times; ++n) {
             const auto& node = subject.nodes()[static_cast<std::size_t>(n) % 2];
             result.push_back(send_to(node, method, path));
-            wait_until("the nodes have told each other", [&] {
-                const auto losses = level(subject.nodes()[0], "suspect_losses");
-                return losses != 0 && losses == level(subject.nodes()[1], "suspect_losses");
-            });
+            wait_until_shared();
         }
         return result;
     }
@@ -79,6 +94,19 @@
     CHECK(level(subject.nodes()[1], "suspect_false_refusals") <= 0);
 }
 
+// Guards against a request that has its own crashes for each address that it comes from.
+TEST_CASE_FIXTURE(
+    gateway_crash_fixture,
+    "gateway, lookup that crashes upstreams comes from many addresses, is refused to all of them") {
+    for (int address = 1; address <= 6; ++address) {
+        send_from(address, subject.nodes()[static_cast<std::size_t>(address) % 2], "/l/poison");
+        wait_until_shared();
+    }
+    CHECK(crashed("lookups") <= crashes_allowed);
+    CHECK(send_from(7, subject.nodes().front(), "/l/poison").status == 503);
+    CHECK(send_from(7, subject.nodes().front(), "/l/a").status == 200);
+}
+
 // Guards against a request that must not be repeated and that its caller sends anew after each failure.
 TEST_CASE_FIXTURE(gateway_crash_fixture,
                   "gateway, order crashes each upstream that runs it, is refused and others are served") {
--- a/tests/support/test_caller.cpp
+++ b/tests/support/test_caller.cpp
@@ -57,6 +57,10 @@
     curl_easy_setopt(easy.get(), CURLOPT_WRITEDATA, &response);
     curl_easy_setopt(easy.get(), CURLOPT_HEADERFUNCTION, take_header);
     curl_easy_setopt(easy.get(), CURLOPT_HEADERDATA, &response);
+    const auto from = "host!" + request.from;
+    if (!request.from.empty()) {
+        curl_easy_setopt(easy.get(), CURLOPT_INTERFACE, from.c_str());
+    }
     if (request.method != "GET") {
         curl_easy_setopt(easy.get(), CURLOPT_CUSTOMREQUEST, request.method.c_str());
         curl_easy_setopt(easy.get(), CURLOPT_POSTFIELDSIZE, static_cast<long>(request.body.size()));
--- a/tests/support/test_caller.h
+++ b/tests/support/test_caller.h
@@ -31,6 +31,7 @@
     std::vector<http_header> headers;
     std::string body;
     long timeout_ms{10000};
+    std::string from{}; ///< IP address to send from; empty for any.
 };
 
 /** Sends a request on a new connection and waits for the response. */
