Drop a crash only if the upstream answers on a connection from before it

Cause: a lost connection does not count if the upstream responds afterwards in the same run. The run was taken from the registration. An upstream that starts again under its id responds before its new registration arrives, so its response counted as one of the run that had crashed. For the same reason a second crash of a restarted upstream was merged with the first.

Change: load_tracker knows since when an upstream has run without a restart: a connection does not survive a restart, and connections that overlap in time cover the time between them. Load reports carry the age of their connection. A loss is dropped only if this covers the time from the send until after the loss. Losses more than 1.5 s apart are different crashes. The test of harmless requests waits for steady probes first, since there is no evidence on an upstream without a connection from before. Searched for the same pattern: the start of the registration is also used by announced leaves (a leave holds until a newer start, so a late registration prolongs it only) and by warm-up times, which the response itself states.

--- a/modules/berylcrank_balance/load/load_tracker.cpp
+++ b/modules/berylcrank_balance/load/load_tracker.cpp
@@ -23,12 +23,12 @@
 
 void load_tracker::report(std::uint32_t upstream, const load_snapshot& it, bool publish) {
     auto& load = at(upstream);
+    extend_run(load, it.connected_at, it.at);
     if (load.reported && load.report.at >= it.at) {
         return;
     }
     load.report = it;
     load.reported = true;
-    load.responded_at = std::max(load.responded_at, it.at);
     load.untracked =
         has_untracked_nodes_ ? std::max(0, it.running + it.waiting - load.own - std::max(0, load.others)) : 0;
     load.report_unsent = load.report_unsent || publish;
@@ -61,9 +61,26 @@
     it.down_until = now + it.backoff;
 }
 
-void load_tracker::reachable(std::uint32_t upstream, instant now) {
+// A connection does not survive a restart. So a response shows that the upstream has run since the start of
+// the connection, and connections that overlap in time show it for the whole time.
+void load_tracker::extend_run(entry& it, instant connected_at, instant when) {
+    if (connected_at + order_margin <= it.responded_at && it.alive_since + order_margin <= when) {
+        it.alive_since = std::min(it.alive_since, connected_at);
+        it.responded_at = std::max(it.responded_at, when);
+    } else if (when > it.responded_at) {
+        it.alive_since = std::min(connected_at, when);
+        it.responded_at = when;
+    }
+}
+
+bool load_tracker::ran_through(std::uint32_t upstream, instant first, instant last) const {
+    const auto* it = find(upstream);
+    return it != nullptr && it->alive_since <= first && last + order_margin < it->responded_at;
+}
+
+void load_tracker::reachable(std::uint32_t upstream, instant connected_at, instant now) {
     auto& it = at(upstream);
-    it.responded_at = now;
+    extend_run(it, connected_at, now);
     it.backoff = millis{};
     it.down_until = instant{};
 }
--- a/modules/berylcrank_balance/load/load_tracker.h
+++ b/modules/berylcrank_balance/load/load_tracker.h
@@ -28,6 +28,9 @@
         report their in-flight counts to this one. It is about the duration of such requests at the upstreams
         of large deployments. */
     static constexpr millis untracked_time_constant{400};
+    /** Difference in time that shows which of two events came first. Times of other nodes are late by the
+        time that the message took, and responses may be on their way when an upstream ends. */
+    static constexpr millis order_margin{100};
     /** Half-life of request outcomes. */
     static constexpr millis outcome_half_life{2000};
     /** First backoff after an upstream could not be reached; doubles up to `max_backoff`. */
@@ -48,7 +51,8 @@
         millis backoff;            // last backoff; 0 if reachable
         outcome_count unsent;      // outcomes of own requests since the last message to the other nodes
         bool report_unsent{false}; // `report` has not been sent to the other nodes yet
-        instant responded_at;      // last time that the upstream is known to have responded
+        instant alive_since;       // the upstream has run without a restart from then
+        instant responded_at;      // until then, the last time that it is known to have responded
         instant last_full;         // last time that all slots were in use while requests were queued
     };
 
@@ -72,8 +76,12 @@
 
     /** Marks an upstream as unreachable for the next backoff; no effect during a backoff. */
     void unreachable(std::uint32_t upstream, instant now);
-    /** Marks an upstream as reachable after any response, including one to a probe. */
-    void reachable(std::uint32_t upstream, instant now);
+    /** Marks an upstream as reachable after any response, including one to a probe. `connected_at` is the
+        start of the connection that carried the response. */
+    void reachable(std::uint32_t upstream, instant connected_at, instant now);
+
+    /** Returns whether an upstream is known to have run without a restart from `first` until after `last`. */
+    [[nodiscard]] bool ran_through(std::uint32_t upstream, instant first, instant last) const;
 
     /** Sets whether upstreams also serve nodes that do not report their in-flight counts to this one. */
     void set_has_untracked_nodes(bool it) { has_untracked_nodes_ = it; }
@@ -97,6 +105,8 @@
     [[nodiscard]] absl::flat_hash_map<std::uint32_t, entry>& all() { return entries_; }
 
 private:
+    static void extend_run(entry& it, instant connected_at, instant when);
+
     absl::flat_hash_map<std::uint32_t, entry> entries_;
     absl::flat_hash_map<std::uint64_t, std::vector<in_flight_count>> peers_;
     double mean_slowness_{1.5};
--- a/modules/berylcrank_gateway/client/client_connection.cpp
+++ b/modules/berylcrank_gateway/client/client_connection.cpp
@@ -76,6 +76,7 @@
             return;
         }
         self->connected_ = true;
+        self->connected_at_ = self->time_.now();
         self->send();
     });
 }
--- a/modules/berylcrank_gateway/client/client_connection.h
+++ b/modules/berylcrank_gateway/client/client_connection.h
@@ -85,6 +85,8 @@
     [[nodiscard]] std::string_view activity() const;
     /** Text of the error that ended the connection, for logs; empty if there was none. */
     [[nodiscard]] const std::string& error() const { return error_; }
+    /** When the connection was established; instant::never() before. */
+    [[nodiscard]] instant connected_at() const { return connected_at_; }
     /** When the last response ended. */
     [[nodiscard]] instant idle_since() const { return idle_since_; }
     /** Idle timeout that the server stated in the Keep-Alive header of its last response, at most
@@ -122,6 +124,7 @@
     std::optional<call_state> call_;
     std::string request_;
     std::string error_;
+    instant connected_at_{instant::never()};
     instant idle_since_;
     millis keep_alive_;
     std::uint64_t calls_{0};
--- a/modules/berylcrank_gateway/client/http_client.cpp
+++ b/modules/berylcrank_gateway/client/http_client.cpp
@@ -32,6 +32,7 @@
             pool_.release(address_, connection_);
         }
         result_.has_response = true;
+        result_.connected_at = connection_->connected_at();
         finish();
     }
 
--- a/modules/berylcrank_gateway/client/http_client.h
+++ b/modules/berylcrank_gateway/client/http_client.h
@@ -20,6 +20,7 @@
     bool has_response{false};
     call_failure failure{call_failure::not_connected}; ///< Valid unless `has_response`.
     bool timed_out{false};                             ///< The failure is a timeout.
+    instant connected_at{instant::never()};            ///< When the connection was established.
     response_head head;
     std::string body;
 };
--- a/modules/berylcrank_gateway/flow/attempt.cpp
+++ b/modules/berylcrank_gateway/flow/attempt.cpp
@@ -64,7 +64,7 @@
             .send();
         return action;
     }
-    load = node_.apply_response(*target_, it, now);
+    load = node_.apply_response(*target_, it, connection_->connected_at(), now);
     head = it;
     has_head = true;
     not_run = it.status == 421 ||
@@ -102,7 +102,7 @@
         return;
     }
     count_outcome(head.status < 500, 1);
-    node_.loads.reachable(target_->number, node_.time.now());
+    node_.loads.reachable(target_->number, connection_->connected_at(), node_.time.now());
     end(send_result::response);
 }
 
--- a/modules/berylcrank_gateway/flow/node_state.cpp
+++ b/modules/berylcrank_gateway/flow/node_state.cpp
@@ -12,7 +12,7 @@
 } // namespace
 
 std::optional<load_snapshot> node_state::apply_response(upstream& it, const response_head& head,
-                                                        instant now) {
+                                                        instant connected_at, instant now) {
     if (head.status == 421) {
         return std::nullopt; // sent by another upstream, which has the address now
     }
@@ -31,6 +31,7 @@
         return std::nullopt;
     }
     report->at = now;
+    report->connected_at = connected_at;
     loads.report(it.number, *report, true);
     return report;
 }
@@ -58,10 +59,17 @@
 }
 
 bool node_state::has_survived(const upstream_loss& it) const {
+    // The loss may be noticed when the upstream already runs again, e.g. at the request's deadline. So only
+    // connections from before the send show that it has run all the time.
+    if (!loads.ran_through(it.upstream, it.sent_at, it.lost_at)) {
+        return false;
+    }
     const auto target = upstreams.find(it.upstream);
-    const auto* load = loads.find(it.upstream);
-    return target && load != nullptr && target->entry.start_time_ms == it.run &&
-           load->responded_at - it.lost_at > survival_margin;
+    log.line("loss-survived")
+        .field("upstream", target ? target->entry.id : "")
+        .field("lost_ms_ago", (time.now() - it.lost_at).count())
+        .send();
+    return true;
 }
 
 bool node_state::mark_leaving(upstream& it) {
--- a/modules/berylcrank_gateway/flow/node_state.h
+++ b/modules/berylcrank_gateway/flow/node_state.h
@@ -23,10 +23,6 @@
         two. */
     static constexpr millis refusal_memory{3000};
 
-    /** A response later than this after the loss of a connection shows that the upstream has survived. An
-        earlier one may have been on its way. */
-    static constexpr millis survival_margin{100};
-
     /** Time for which messages to other nodes repeat an announced stop, since datagrams can be lost. */
     static constexpr millis leave_repeat_time{250};
 
@@ -100,7 +96,9 @@
                              warmups.allows(it.number, rate, now));
     }
 
-    /** Returns true if an upstream has responded after the loss of a connection, without a start since. */
+    /** Returns true if an upstream has responded after the loss of a connection, without a start since. Its
+        registration does not tell: an upstream that starts again under its id may respond before the
+        registration of that start arrives. */
     [[nodiscard]] bool has_survived(const upstream_loss& it) const;
 
     /** Call this when the process continues after a pause, in which it received no messages. Until the other
@@ -111,8 +109,10 @@
     }
 
     /** Applies what the headers of an upstream's response say about the upstream: its load, its stop, and the
-        time for which a 503 response asks for no requests. Returns the load, if any. */
-    std::optional<load_snapshot> apply_response(upstream& it, const response_head& head, instant now);
+        time for which a 503 response asks for no requests. `connected_at` is the start of the connection that
+        carried the response. Returns the load, if any. */
+    std::optional<load_snapshot> apply_response(upstream& it, const response_head& head, instant connected_at,
+                                                instant now);
 
     /** Stops sending to an upstream that announces its stop in the headers of a response. */
     void apply_leaving(upstream& it, const header_list& headers, instant now);
--- a/modules/berylcrank_gateway/flow/prober.cpp
+++ b/modules/berylcrank_gateway/flow/prober.cpp
@@ -94,12 +94,12 @@
         return;
     }
     node_.metrics.count_probe(result.head.status == 200 ? "healthy" : "unhealthy");
-    node_.apply_response(*it, result.head, now);
+    node_.apply_response(*it, result.head, result.connected_at, now);
     if (result.head.status != 200) {
         node_.loads.outcome(it->number, {.bad = unhealthy_weight}, now, false);
         return;
     }
-    node_.loads.reachable(it->number, now);
+    node_.loads.reachable(it->number, result.connected_at, now);
     node_.apply_warm_up(*it, result.head.headers, sent, now);
 }
 
--- a/modules/berylcrank_gateway/peers/node_message.cpp
+++ b/modules/berylcrank_gateway/peers/node_message.cpp
@@ -153,6 +153,7 @@
         to.setSlots(clamped<std::uint8_t>(it.report->slots));
         to.setSlowness(clamped<std::uint16_t>(it.report->slowness * 100));
         to.setAgeMs(clamped<std::uint16_t>((now - it.report->at).value()));
+        to.setConnectionAgeMs(clamped<std::uint32_t>((now - it.report->connected_at).value()));
     }
 }
 
@@ -169,7 +170,8 @@
                                       .waiting = it.getWaiting(),
                                       .slots = it.getSlots(),
                                       .slowness = it.getSlowness() / 100.0,
-                                      .at = now - millis{it.getAgeMs()}};
+                                      .at = now - millis{it.getAgeMs()},
+                                      .connected_at = now - millis{it.getConnectionAgeMs()}};
     }
     return result;
 }
--- a/modules/berylcrank_suspect/table/suspect_table.cpp
+++ b/modules/berylcrank_suspect/table/suspect_table.cpp
@@ -110,7 +110,7 @@
         return;
     }
     const auto same =
-        std::ranges::find_if(it.losses, [&](const auto& known) { return known.same_run(loss); });
+        std::ranges::find_if(it.losses, [&](const auto& known) { return known.same_crash(loss); });
     if (same != it.losses.end()) {
         // Times of other nodes are estimates that are late by the time that the report took.
         if (loss.lost_at < same->lost_at) {
--- a/modules/berylcrank_suspect/table/suspect_table.h
+++ b/modules/berylcrank_suspect/table/suspect_table.h
@@ -15,13 +15,20 @@
 
 /** The loss of a connection to an upstream while a request was running on it. */
 struct upstream_loss {
+    /** An upstream that has crashed takes longer than this to crash again. Times of other nodes are late by
+        less, and the losses of one crash are noticed within less. */
+    static constexpr millis restart_time{1500};
+
     std::uint32_t upstream{0}; ///< Hash of the upstream's id.
     std::uint64_t run{0};      ///< Identifies the run of the upstream between two of its starts.
     instant sent_at;           ///< When the request was sent.
     instant lost_at;
 
-    [[nodiscard]] bool same_run(const upstream_loss& other) const {
-        return upstream == other.upstream && run == other.run;
+    /** Returns true if both are the same loss or were lost in the same crash. `run` alone does not tell: it
+        comes from the registration, which may arrive after the upstream has started again. */
+    [[nodiscard]] bool same_crash(const upstream_loss& other) const {
+        const auto apart = lost_at > other.lost_at ? lost_at - other.lost_at : other.lost_at - lost_at;
+        return upstream == other.upstream && run == other.run && apart < restart_time;
     }
 };
 
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -43,6 +43,8 @@
   # Age of the load report at the sender, in milliseconds.
   coldLeftMs @10 :UInt16;
   hasCold @11 :Bool;
+  connectionAgeMs @12 :UInt32;
+  # Age of the connection that carried the load report, in milliseconds.
 }
 
 struct InFlight {
--- a/standins/platform_worker/worker.cpp
+++ b/standins/platform_worker/worker.cpp
@@ -31,8 +31,8 @@
 
 } // namespace
 
-worker::worker(boost::asio::io_context& io, worker_behaviour behaviour)
-    : io_(io), acceptor_(io, {boost::asio::ip::make_address("127.0.0.1"), 0}),
+worker::worker(boost::asio::io_context& io, worker_behaviour behaviour, std::uint16_t port)
+    : io_(io), acceptor_(io, {boost::asio::ip::make_address("127.0.0.1"), port}),
       behaviour_(std::move(behaviour)) {
     accept_next();
 }
--- a/standins/platform_worker/worker.h
+++ b/standins/platform_worker/worker.h
@@ -45,7 +45,7 @@
 */
 class worker {
 public:
-    worker(boost::asio::io_context& io, worker_behaviour behaviour);
+    worker(boost::asio::io_context& io, worker_behaviour behaviour, std::uint16_t port = 0);
 
     [[nodiscard]] std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
 
--- a/tests/gateway/message_test.cpp
+++ b/tests/gateway/message_test.cpp
@@ -128,7 +128,8 @@
     CHECK(suspect.cleared_at == at(received, 900));
     CHECK(suspect.trial_started == at(received, 30));
     REQUIRE(suspect.losses.size() == 1);
-    CHECK(suspect.losses[0].same_run(it.suspects[0].losses[0]));
+    CHECK(suspect.losses[0].upstream == it.suspects[0].losses[0].upstream);
+    CHECK(suspect.losses[0].run == it.suspects[0].losses[0].run);
     CHECK(suspect.losses[0].sent_at == at(received, 500));
     CHECK(suspect.losses[0].lost_at == at(received, 400));
 }
@@ -171,7 +172,8 @@
 
 // Guards against fields that are lost or altered by the encoding of a message.
 TEST_CASE("node_message, all fields set, round-trips through the encoding") {
-    const load_snapshot report{.running = 3, .waiting = 1, .slots = 4, .slowness = 4.25, .at = at(980)};
+    const load_snapshot report{
+        .running = 3, .waiting = 1, .slots = 4, .slowness = 4.25, .at = at(980), .connected_at = at(400)};
     node_message it{.node = 7, .incarnation = 9, .ready = true, .has_watermarks = true};
     it.watermarks[1] = {
         .complete = true, .end = 40, .age = millis{70}, .reader = 5, .read_number = 6, .last_change_end = 33};
--- a/tests/gateway/node_state_test.cpp
+++ b/tests/gateway/node_state_test.cpp
@@ -82,12 +82,12 @@
 // A malformed load must not replace the last one, nor poison the mean of all upstreams.
 TEST_CASE_FIXTURE(node_state_fixture, "node_state, response with a malformed load, keeps the last one") {
     const auto load = subject.apply_response(
-        target(), {.status = 200, .headers = {{"Server-Load", "2,1,4,300"}}}, at(1000));
+        target(), {.status = 200, .headers = {{"Server-Load", "2,1,4,300"}}}, at(900), at(1000));
     REQUIRE(load);
     CHECK(load->slowness == doctest::Approx(3));
     const auto mean = subject.loads.mean_slowness();
     CHECK_FALSE(subject.apply_response(target(), {.status = 200, .headers = {{"Server-Load", "2,1,4,nan"}}},
-                                       at(1100)));
+                                       at(900), at(1100)));
     CHECK(subject.loads.find(target().number)->report.at == at(1000));
     CHECK(subject.loads.mean_slowness() == mean);
     CHECK(target().paused_until == instant{});
@@ -97,10 +97,10 @@
 TEST_CASE_FIXTURE(node_state_fixture,
                   "node_state, another upstream responds at the address, changes nothing") {
     const header_list headers{{"Server-Leaving", "1"}, {"Server-Load", "4,8,4,400"}};
-    CHECK_FALSE(subject.apply_response(target(), {.status = 421, .headers = headers}, at(1000)));
+    CHECK_FALSE(subject.apply_response(target(), {.status = 421, .headers = headers}, at(900), at(1000)));
     CHECK(subject.upstreams.usable(target()));
     CHECK(subject.loads.find(target().number) == nullptr);
-    CHECK(subject.apply_response(target(), {.status = 200, .headers = headers}, at(1000)));
+    CHECK(subject.apply_response(target(), {.status = 200, .headers = headers}, at(900), at(1000)));
     CHECK_FALSE(subject.upstreams.usable(target()));
 }
 
@@ -119,4 +119,34 @@
     CHECK(target().cold_until == at(1020));
 }
 
+// Guards against dropping the crash of an upstream that starts again under its id, because it responds before
+// its new registration arrives.
+TEST_CASE_FIXTURE(node_state_fixture,
+                  "node_state, upstream responds on a connection from after the loss, has not survived it") {
+    const upstream_loss loss{.upstream = target().number, .sent_at = at(2000), .lost_at = at(2100)};
+    subject.loads.reachable(target().number, at(500), at(2000));
+    subject.loads.reachable(target().number, at(5000), at(5200));
+    CHECK_FALSE(subject.has_survived(loss));
+    subject.loads.report(target().number, {.at = at(5300), .connected_at = at(5000)}, false);
+    CHECK_FALSE(subject.has_survived(loss));
+    subject.loads.reachable(target().number, at(2050), at(5400)); // before the node noticed the loss
+    CHECK_FALSE(subject.has_survived(loss));
+}
+
+// Guards against refusing requests whose responses were lost although the upstream goes on running.
+TEST_CASE_FIXTURE(node_state_fixture,
+                  "node_state, upstream responds on connections from before the loss, has survived it") {
+    const upstream_loss loss{.upstream = target().number, .sent_at = at(2000), .lost_at = at(2100)};
+    subject.loads.reachable(target().number, at(500), at(2150)); // may have been on its way at the crash
+    CHECK_FALSE(subject.has_survived(loss));
+    subject.loads.reachable(target().number, at(500), at(2300));
+    CHECK(subject.has_survived(loss));
+    // Each of these connections overlaps with the one before, so the upstream has run all the time.
+    subject.loads.report(target().number, {.at = at(6000), .connected_at = at(2150)}, false);
+    subject.loads.reachable(target().number, at(5500), at(9000));
+    CHECK(subject.has_survived(loss));
+    subject.loads.reachable(target().number, at(9500), at(9900));
+    CHECK_FALSE(subject.has_survived(loss));
+}
+
 } // namespace berylcrank
--- a/tests/process/gateway_crash_test.cpp
+++ b/tests/process/gateway_crash_test.cpp
@@ -61,6 +61,31 @@
         return at == std::string::npos ? -1 : std::stod(text.substr(text.find(' ', at)));
     }
 
+    // Number of successful health checks that a node has made.
+    static double healthy_probes(const platform_node& node) {
+        const auto text = send({.address = node.control, .path = "/metrics"}).body;
+        const auto at = text.find("berylcrank_probes_total{result=\"healthy\"} ");
+        return at == std::string::npos ? 0 : std::stod(text.substr(text.find(' ', at)));
+    }
+
+    // Waits until the nodes know each other, so that each upstream has one node that probes it, and until
+    // that node has probed it again on the same connection.
+    void wait_for_steady_probes() {
+        for (const auto& node : subject.nodes()) {
+            wait_until("the node knows the other", [&] { return level(node, "live_nodes") == 2; });
+        }
+        std::vector<double> before;
+        for (const auto& node : subject.nodes()) {
+            before.push_back(healthy_probes(node));
+        }
+        for (std::size_t n = 0; n < before.size(); ++n) {
+            wait_until("the node has probed its upstreams repeatedly", [&] {
+                const auto upstreams = static_cast<double>(subject.workers().size());
+                return healthy_probes(subject.nodes()[n]) - before[n] >= 3 * upstreams;
+            });
+        }
+    }
+
     // Sends a request to the nodes in turn, `times` times in all. Returns the responses.
     std::vector<test_response> repeat(const std::string& method, const std::string& path, int times) {
         std::vector<test_response> result;
@@ -107,6 +132,32 @@
     CHECK(send_from(7, subject.nodes().front(), "/l/a").status == 200);
 }
 
+// Guards against forgetting crashes because the upstreams start again under their ids and respond before
+// their new registrations arrive.
+TEST_CASE_FIXTURE(gateway_crash_fixture,
+                  "gateway, crashed upstreams start again under their ids, the lookup stays refused") {
+    repeat("GET", "/l/poison", 4);
+    std::vector<std::string> restarted;
+    for (auto* it : subject.workers_of("lookups")) {
+        if (!send({.address = it->address, .path = "/runs"}).is_connected) {
+            platform_deployment::restart_worker(*it);
+            platform_deployment::configure_worker(*it, "crash=/l/poison");
+            restarted.push_back(it->id);
+        }
+    }
+    REQUIRE(restarted.size() == crashes_allowed);
+    for (const auto& node : subject.nodes()) {
+        for (const auto& id : restarted) {
+            wait_until("the node gets responses of " + id,
+                       [&] { return send_to(node, "GET", "/l/a").header("Server-Signature") == id; });
+        }
+    }
+    for (int n = 0; n < 4; ++n) {
+        CHECK(send_to(subject.nodes()[static_cast<std::size_t>(n) % 2], "GET", "/l/poison").status == 503);
+    }
+    CHECK(crashed("lookups") == 0);
+}
+
 // Guards against a request that must not be repeated and that its caller sends anew after each failure.
 TEST_CASE_FIXTURE(gateway_crash_fixture,
                   "gateway, order crashes each upstream that runs it, is refused and others are served") {
@@ -135,6 +186,8 @@
 // Guards against refusing harmless requests because their connections were lost: when several upstreams crash
 // at once, and when upstreams that go on running lose their responses.
 TEST_CASE_FIXTURE(gateway_crash_fixture, "gateway, connections of harmless requests are lost, refuses none") {
+    // Only connections from before a loss show that an upstream has survived it.
+    wait_for_steady_probes();
     for (const auto* it : subject.workers_of("orders")) {
         subject.configure_worker(*it, "mode=reset");
     }
--- a/tests/support/platform_deployment.cpp
+++ b/tests/support/platform_deployment.cpp
@@ -120,6 +120,13 @@
     REQUIRE(post(worker.address, "/control?" + settings).status == 200);
 }
 
+void platform_deployment::restart_worker(platform_worker& worker) {
+    worker.process = std::make_unique<child>(
+        std::vector<std::string>{program_path("standin_platform_worker"), "--id", worker.id, "--body-bytes",
+                                 "100", "--port", worker.address.substr(worker.address.find(':') + 1)});
+    REQUIRE(worker.process->wait_listening().at("http") == worker.address);
+}
+
 int platform_deployment::execution_count(const std::string& id) {
     int n = 0;
     for (const auto& worker : workers_) {
--- a/tests/support/platform_deployment.h
+++ b/tests/support/platform_deployment.h
@@ -66,6 +66,10 @@
     /** Changes the behaviour of a worker, e.g. "mode=shed". */
     static void configure_worker(const platform_worker& worker, const std::string& settings);
 
+    /** Starts a worker whose process has ended again, under its id and at its address. Its registration stays
+        that of the run before. */
+    static void restart_worker(platform_worker& worker);
+
     /** Returns how many times all workers together have started a request. */
     int execution_count(const std::string& id);
 
--- a/tests/suspect/suspect_test.cpp
+++ b/tests/suspect/suspect_test.cpp
@@ -198,6 +198,18 @@
     CHECK(action(second) == action_kind::run);
 }
 
+// Guards against counting two crashes of an upstream as one because its new registration has not arrived.
+TEST_CASE_FIXTURE(suspect_fixture,
+                  "suspect_table, upstream crashes again after its start, both crashes count") {
+    for (int n = 0; n < 3; ++n) {
+        first.on_lost(request, {.upstream = 1, .run = 1, .sent_at = now, .lost_at = now + millis{5}}, now);
+        first.on_lost(request, {.upstream = 1, .run = 1, .sent_at = now, .lost_at = now + millis{9}}, now);
+        now = now + millis{3000};
+    }
+    CHECK(first.losses() == 3);
+    CHECK(action(first) == action_kind::refuse);
+}
+
 // Guards against a node that sends a refused request to upstreams again because it has just started.
 TEST_CASE_FIXTURE(suspect_fixture, "suspect_table, node has just started, learns the refused requests") {
     for (int n = 0; n < 3; ++n) {
