Add up the crashes of a request over all cells of a large deployment

Cause: a node tells changed suspects to its own cell only. Other cells heard of a suspect when this one refused it, through hellos and rosters, which take seconds. So each cell had its own three crashes. Two more causes of the same effect: a suspect keeps its eight latest losses, and copies that were lost at once pushed out the crashes in sequence before them; hellos told the eight suspects of the latest crashes only, never further ones.

Change: a node with a changed suspect also tells four nodes of other cells drawn at random, three times, at most ten times per second; what is new to a node from another cell is told to its cell and relayed. A loss that does not count towards the sequence is removed first. Hellos tell all refused suspects in turn. Suspects of a single crash are reported for two seconds only, so that those of a lost failure domain do not delay the others. Weighed: all nodes for each change (139 datagrams for each crash); sharing from the second crash on (up to one crash more for each of ten cells); a record in the store (one call for each crash).

--- a/modules/berylcrank_gateway/node/gateway_node.h
+++ b/modules/berylcrank_gateway/node/gateway_node.h
@@ -65,6 +65,7 @@
     void exchange_messages(instant now);
     void contact_seeds();
     void send_loads(instant now);
+    void send_suspects(instant now);
     void send_watermarks(instant now, bool to_all);
     void send_hello(instant now);
     void send_roster(instant now);
@@ -104,6 +105,7 @@
     instant next_message_;
     instant next_hello_;
     instant next_roster_;
+    instant next_suspects_; // earliest time of the next message about suspects to other cells
     instant next_sweep_;
     instant next_rank_;
     std::size_t reader_rank_{0};
--- a/modules/berylcrank_gateway/node/gateway_node_messages.cpp
+++ b/modules/berylcrank_gateway/node/gateway_node_messages.cpp
@@ -11,7 +11,11 @@
 // Receivers of a roster in other failure domains. Only the first node of a cell sends to them.
 constexpr std::size_t distant_fanout = 3;
 constexpr std::size_t max_known_in_hello = 8; // addresses of other nodes in a hello
-constexpr std::size_t max_suspects = 8;       // in a message
+constexpr std::size_t max_suspects = 16;      // in a message
+// Receivers of changed suspects in other cells, which relay them. With three copies, 12 nodes hear of a
+// change from its first node, so that nearly all of 10 cells do.
+constexpr std::size_t suspect_fanout = 4;
+constexpr millis suspect_interval{100}; // minimum time between messages about suspects to other cells
 
 } // namespace
 
@@ -56,6 +60,7 @@
         log_.line("peer-silent").field("peer", it == nullptr ? "" : it->info.name).send();
     }
     send_loads(now);
+    send_suspects(now);
     const auto last_read_number = follower_.last_read_number();
     if (last_read_number != last_sent_read_) {
         last_sent_read_ = last_read_number;
@@ -139,6 +144,29 @@
     send_to(it, to, now);
 }
 
+void gateway_node::send_suspects(instant now) {
+    if (!node_.peers.has_multiple_cells() || now < next_suspects_) {
+        return;
+    }
+    auto it = message(now);
+    it.suspects = node_.suspects.take_changes(max_suspects, now, report_scope::other_cells);
+    if (it.suspects.empty()) {
+        return;
+    }
+    next_suspects_ = now + suspect_interval;
+    it.self = node_.peers.self(); // distant nodes may not know this start of the process
+    auto others = node_.peers.live(now);
+    std::erase_if(others,
+                  [](const auto* peer) { return peer_table::relation(*peer) == peer_relation::same_cell; });
+    std::vector<const peer*> to;
+    while (to.size() < suspect_fanout && !others.empty()) {
+        const auto at = others.begin() + static_cast<std::ptrdiff_t>(node_.random.below(others.size()));
+        to.push_back(*at);
+        others.erase(at);
+    }
+    send_to(it, to, now);
+}
+
 void gateway_node::send_hello(instant now) {
     auto it = message(now);
     it.has_watermarks = true;
@@ -212,8 +240,9 @@
         send_hello_to(sender->info, false);
     }
     contact_new_nodes(it.known, now);
-    node_.suspects.merge(it.suspects, now);
-    if (node_.peers.relation(*node_.peers.find(it.node)) == peer_relation::same_cell) {
+    const bool is_same_cell = node_.peers.relation(*node_.peers.find(it.node)) == peer_relation::same_cell;
+    node_.suspects.merge(it.suspects, now, is_same_cell ? report_scope::cell : report_scope::other_cells);
+    if (is_same_cell) {
         apply_loads(it, now);
     }
     if (it.has_watermarks && follower_.on_watermarks(it.watermarks, now)) {
--- a/modules/berylcrank_suspect/table/suspect_table.cpp
+++ b/modules/berylcrank_suspect/table/suspect_table.cpp
@@ -47,7 +47,7 @@
 }
 
 void suspect_table::mark_changed(suspect& it) const {
-    it.copies_left = options_.report_copies;
+    it.copies_left.fill(options_.report_copies);
 }
 
 suspect_verdict suspect_table::check(std::uint64_t fingerprint, instant now) {
@@ -90,52 +90,69 @@
     return crashes_in_sequence(at->second) + 1 < options_.crashes_to_refuse;
 }
 
-suspect_table::suspect* suspect_table::find_or_add(std::uint64_t fingerprint, instant now) {
+suspect_table::suspect_map::iterator suspect_table::find_or_add(std::uint64_t fingerprint, instant now) {
     const auto at = suspects_.find(fingerprint);
     if (at != suspects_.end()) {
-        return &at->second;
+        return at;
     }
     if (suspects_.size() >= options_.max_suspects && now >= next_expiry_) { // a full table is searched rarely
         expire(now);
     }
     if (suspects_.size() >= options_.max_suspects) {
         ++untracked_;
-        return nullptr;
+        return suspects_.end();
     }
-    return &suspects_[fingerprint];
+    return suspects_.try_emplace(fingerprint).first;
 }
 
-void suspect_table::add_loss(suspect& it, const upstream_loss& loss) {
-    if (it.cleared_at && loss.lost_at <= *it.cleared_at) {
+// Removes a loss that does not count towards the sequence if there is one, otherwise the oldest. Many copies
+// of a request can be lost at once, and would otherwise push out the losses that count.
+void suspect_table::trim_losses(suspect& it) {
+    if (it.losses.size() <= max_losses) {
         return;
     }
-    const auto same =
-        std::ranges::find_if(it.losses, [&](const auto& known) { return known.same_crash(loss); });
-    if (same != it.losses.end()) {
-        // Times of other nodes are estimates that are late by the time that the report took.
-        if (loss.lost_at < same->lost_at) {
-            *same = loss;
+    auto victim = it.losses.begin();
+    instant last;
+    for (auto at = it.losses.begin(); at != it.losses.end(); ++at) {
+        if (at == it.losses.begin() || at->sent_at >= last) {
+            last = at->lost_at;
+        } else {
+            victim = at;
         }
-    } else {
+    }
+    it.losses.erase(victim);
+}
+
+// Returns whether the loss was not known and is kept.
+bool suspect_table::add_loss(suspect& it, const upstream_loss& loss) {
+    if (it.cleared_at && loss.lost_at <= *it.cleared_at) {
+        return false;
+    }
+    const auto is_same = [&](const auto& known) { return known.same_crash(loss); };
+    const auto same = std::ranges::find_if(it.losses, is_same);
+    const bool is_new = same == it.losses.end();
+    if (is_new) {
         it.losses.push_back(loss);
+    } else if (loss.lost_at < same->lost_at) { // times of other nodes are late by the time of the message
+        *same = loss;
     }
     std::ranges::sort(it.losses, {}, &upstream_loss::lost_at);
-    if (it.losses.size() > max_losses) {
-        it.losses.erase(it.losses.begin());
-    }
+    trim_losses(it);
+    return is_new && std::ranges::any_of(it.losses, is_same);
 }
 
 std::uint32_t suspect_table::on_lost(std::uint64_t fingerprint, const upstream_loss& loss, instant now) {
     const lock_guard lock(mutex_);
-    auto* it = find_or_add(fingerprint, now);
-    if (it == nullptr) {
+    const auto at = find_or_add(fingerprint, now);
+    if (at == suspects_.end()) {
         return 0;
     }
-    it->trial_started.reset();
-    drop_survived(*it);
-    add_loss(*it, loss);
-    mark_changed(*it);
-    return crashes_in_sequence(*it);
+    auto& it = at->second;
+    it.trial_started.reset();
+    drop_survived(it);
+    add_loss(it, loss);
+    mark_changed(it);
+    return crashes_in_sequence(it);
 }
 
 void suspect_table::clear(suspect_map::iterator it, instant when) {
@@ -171,46 +188,63 @@
     }
 }
 
-void suspect_table::merge_trial(suspect& it, const suspect_report& report) const {
+// Returns whether a trial is running that was not known.
+bool suspect_table::merge_trial(suspect& it, const suspect_report& report) const {
     // A trial that has ended in a crash is over, also if its start is reported later.
     const auto last_crash = report.losses.empty() ? instant{} : report.losses.back().lost_at;
     if (report.trial_started && *report.trial_started >= last_crash) {
+        const bool is_new = !it.trial_started || *report.trial_started - *it.trial_started > trial_retry;
         it.trial_started = std::max(it.trial_started.value_or(instant{}), *report.trial_started);
-    } else if (it.trial_started && last_crash > *it.trial_started) {
+        return is_new;
+    }
+    if (it.trial_started && last_crash > *it.trial_started) {
         it.trial_started.reset();
     }
+    return false;
 }
 
-void suspect_table::merge(std::span<const suspect_report> reports, instant now) {
+// Returns whether the report changed the suspect.
+bool suspect_table::merge_report(suspect_map::iterator at, const suspect_report& report) {
+    auto& it = at->second;
+    it.is_shared = true;
+    bool has_changed = false;
+    if (report.cleared_at && (!it.cleared_at || *report.cleared_at > *it.cleared_at)) {
+        has_changed = !it.losses.empty();
+        clear(at, *report.cleared_at);
+    }
+    has_changed = merge_trial(it, report) || has_changed;
+    const auto known = it.losses.size();
+    bool adds_loss = false;
+    for (const auto& loss : report.losses) {
+        adds_loss = add_loss(it, loss) || adds_loss;
+    }
+    // The sender has missed that the suspect was cleared.
+    if (!adds_loss && known == 0 && !report.losses.empty()) {
+        mark_changed(it);
+    }
+    return has_changed || adds_loss;
+}
+
+void suspect_table::merge(std::span<const suspect_report> reports, instant now, report_scope sender) {
     const lock_guard lock(mutex_);
     for (const auto& report : reports) {
-        auto* it = find_or_add(report.fingerprint, now);
-        if (it == nullptr) {
-            continue;
-        }
-        it->is_shared = true;
-        if (report.cleared_at && (!it->cleared_at || *report.cleared_at > *it->cleared_at)) {
-            clear(suspects_.find(report.fingerprint), *report.cleared_at);
-        }
-        merge_trial(*it, report);
-        const auto known = it->losses.size();
-        for (const auto& loss : report.losses) {
-            add_loss(*it, loss);
-        }
-        // The sender has missed that the suspect was cleared.
-        if (it->losses.size() == known && known == 0 && !report.losses.empty()) {
-            mark_changed(*it);
+        const auto at = find_or_add(report.fingerprint, now);
+        if (at != suspects_.end() && merge_report(at, report) && sender == report_scope::other_cells) {
+            mark_changed(at->second);
         }
     }
 }
 
 bool suspect_table::is_worth_reporting(const suspect& it, instant now) const {
-    if (it.cleared_at && it.losses.empty()) {
+    if (it.losses.empty()) {
+        return it.cleared_at.has_value();
+    }
+    if (crashes_in_sequence(it) > 1) {
         return true;
     }
-    // Most single losses are withdrawn within this time: by a retry that succeeds, or by the upstream.
-    return !it.losses.empty() &&
-           (crashes_in_sequence(it) > 1 || now - it.losses.back().lost_at >= options_.evidence_time);
+    // Most single losses are withdrawn within the first time: by a retry that succeeds, or by the upstream.
+    const auto age = now - it.losses.back().lost_at;
+    return age >= options_.evidence_time && age < options_.single_report_time;
 }
 
 suspect_report suspect_table::make_report(std::uint64_t fingerprint, const suspect& it) {
@@ -220,14 +254,15 @@
             .losses = it.losses};
 }
 
-std::vector<suspect_report> suspect_table::take_changes(std::size_t limit, instant now) {
+std::vector<suspect_report> suspect_table::take_changes(std::size_t limit, instant now, report_scope to) {
     const lock_guard lock(mutex_);
     if (now >= next_expiry_) {
         expire(now);
     }
+    const auto scope = static_cast<std::size_t>(to);
     std::vector<suspect_map::iterator> changed;
     for (auto at = suspects_.begin(); at != suspects_.end(); ++at) {
-        if (at->second.copies_left > 0) {
+        if (at->second.copies_left[scope] > 0) {
             drop_survived(at->second);
             if (is_worth_reporting(at->second, now)) {
                 changed.push_back(at);
@@ -238,7 +273,7 @@
     changed.resize(std::min(changed.size(), limit));
     std::vector<suspect_report> result;
     for (const auto& at : changed) {
-        --at->second.copies_left;
+        --at->second.copies_left[scope];
         at->second.is_shared = true;
         result.push_back(make_report(at->first, at->second));
     }
@@ -258,9 +293,12 @@
             result.push_back(make_report(fingerprint, it));
         }
     }
-    std::ranges::sort(result, std::greater{},
-                      [](const suspect_report& it) { return it.losses.back().lost_at; });
+    // Starts after the last one of the message before, so that all are told in turn if there are many.
+    std::ranges::sort(result, {}, &suspect_report::fingerprint);
+    std::ranges::rotate(result,
+                        std::ranges::upper_bound(result, last_refused_, {}, &suspect_report::fingerprint));
     result.resize(std::min(result.size(), limit));
+    last_refused_ = result.empty() ? 0 : result.back().fingerprint;
     return result;
 }
 
--- a/modules/berylcrank_suspect/table/suspect_table.h
+++ b/modules/berylcrank_suspect/table/suspect_table.h
@@ -5,6 +5,7 @@
 
 #include "absl/container/flat_hash_map.h"
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -52,6 +53,13 @@
     millis retry_after; ///< Set for `refuse`.
 };
 
+/** Receivers of reports. In a large deployment, the nodes of a cell exchange messages many times per second;
+   a change spreads to other cells over nodes drawn at random. */
+enum class report_scope : std::uint8_t {
+    cell,        ///< All nodes of the own cell.
+    other_cells, ///< Some nodes of other cells.
+};
+
 /** Recognizes requests that crash each upstream that runs them, by fingerprint.
 
     Many innocent requests are in flight when an upstream crashes, and some of them repeatedly: popular ones,
@@ -84,6 +92,9 @@
         millis evidence_time{200};
         std::size_t max_suspects{4096}; ///< Requests that exceed it are not tracked.
         int report_copies{3};           ///< Times that a change is reported, because reports can be lost.
+        /** Time after its loss in which a suspect with a single crash is reported. The loss of a failure
+           domain leaves thousands of them, which must not delay those of several crashes. */
+        millis single_report_time{2000};
     };
 
     /** Returns true if an upstream has responded after a loss, in the same run. */
@@ -109,14 +120,17 @@
     /** Ends a trial that had no outcome, e.g. because the request was not sent. */
     void on_trial_unused(std::uint64_t fingerprint);
 
-    /** Merges the reports of another node. */
-    void merge(std::span<const suspect_report> reports, instant now);
+    /** Merges the reports of another node. What is new in the reports of another cell is reported again, to
+        the own cell and to further ones. */
+    void merge(std::span<const suspect_report> reports, instant now,
+               report_scope sender = report_scope::cell);
 
     /** Returns the reports of suspects that have changed, at most `limit`, those of most crashes first. */
-    std::vector<suspect_report> take_changes(std::size_t limit, instant now);
+    std::vector<suspect_report> take_changes(std::size_t limit, instant now,
+                                             report_scope to = report_scope::cell);
 
-    /** Returns the reports of suspects that are refused, at most `limit`, those of the last crashes first.
-        They are sent periodically, for nodes that have just started. */
+    /** Returns the reports of suspects that are refused, at most `limit`, all in turn by repeated calls. They
+        are sent periodically, for nodes that have just started. */
     [[nodiscard]] std::vector<suspect_report> refused(std::size_t limit, instant now);
 
     /** Returns true if there is no suspect, so that no fingerprint needs to be computed. */
@@ -138,15 +152,17 @@
         std::optional<instant> cleared_at;
         std::optional<instant> trial_started;
         std::uint64_t refusals{0};
-        int copies_left{0};    ///< Reports that are still to be sent.
-        bool is_shared{false}; ///< Another node may know the suspect.
+        std::array<int, 2> copies_left{}; ///< Reports that are still to be sent, by report_scope.
+        bool is_shared{false};            ///< Another node may know the suspect.
     };
     using suspect_map = absl::flat_hash_map<std::uint64_t, suspect>;
 
-    suspect* find_or_add(std::uint64_t fingerprint, instant now);
-    void add_loss(suspect& it, const upstream_loss& loss);
+    suspect_map::iterator find_or_add(std::uint64_t fingerprint, instant now);
+    bool add_loss(suspect& it, const upstream_loss& loss);
+    static void trim_losses(suspect& it);
     void clear(suspect_map::iterator it, instant when);
-    void merge_trial(suspect& it, const suspect_report& report) const;
+    bool merge_trial(suspect& it, const suspect_report& report) const;
+    bool merge_report(suspect_map::iterator at, const suspect_report& report);
     void mark_changed(suspect& it) const;
     void drop_survived(suspect& it) const;
     void expire(instant now);
@@ -160,6 +176,7 @@
     survival_check has_survived_;
     mutable mutex mutex_;
     suspect_map suspects_;
+    std::uint64_t last_refused_{0}; ///< The last fingerprint that `refused` returned.
     std::uint64_t untracked_{0};
     std::uint64_t refusals_{0};
     std::uint64_t false_refusals_{0};
--- a/tests/support/platform_deployment.cpp
+++ b/tests/support/platform_deployment.cpp
@@ -15,7 +15,7 @@
 
 // Returns free ports for a node, which needs them in its settings before it starts. To keep them free until
 // then, they are below the kernel's ephemeral port range, and concurrent test processes use different slices.
-std::vector<int> free_ports(int n) {
+std::vector<int> free_ports(const std::string& ip, int n) {
     constexpr int first_port = 11000;
     constexpr int slice_size = 60;
     constexpr int slices = 350;
@@ -28,7 +28,7 @@
         boost::asio::ip::tcp::acceptor probe(io, boost::asio::ip::tcp::v4());
         boost::system::error_code ec;
         probe.set_option(boost::asio::ip::tcp::acceptor::reuse_address(true));
-        probe.bind({boost::asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(port)}, ec);
+        probe.bind({boost::asio::ip::make_address(ip), static_cast<std::uint16_t>(port)}, ec);
         if (!ec) {
             ports.push_back(port);
         }
@@ -54,7 +54,8 @@
 
 } // namespace
 
-platform_deployment::platform_deployment(int nodes, int workers) {
+platform_deployment::platform_deployment(int nodes, int workers, int failure_domains)
+    : failure_domains_(failure_domains) {
     store_ = std::make_unique<child>(std::vector<std::string>{program_path("standin_platform_store")});
     store_address_ = store_->wait_listening().at("http");
     put_operator_record("config", config(1));
@@ -150,9 +151,13 @@
 }
 
 platform_node& platform_deployment::start_node() {
-    const auto ports = free_ports(5);
-    const auto at = [&](std::size_t n) { return absl::StrCat("127.0.0.1:", ports[n]); };
-    platform_node node{.name = absl::StrCat("front-", ++started_),
+    const int number = ++started_;
+    const auto ip = failure_domains_ == 1 ? std::string("127.0.0.1") : absl::StrCat("127.0.1.", number);
+    const auto ports = free_ports(ip, 5);
+    const auto at = [&](std::size_t n) { return absl::StrCat(ip, ":", ports[n]); };
+    const int domain = number % failure_domains_;
+    const auto zone = domain == 0 ? std::string("north") : absl::StrCat("north-", domain);
+    platform_node node{.name = absl::StrCat("front-", number),
                        .front = at(0),
                        .ready = at(1),
                        .directory = at(2),
@@ -160,8 +165,8 @@
     node.settings_path = std::filesystem::temp_directory_path() /
                          absl::StrCat("berylcrank-", getpid(), "-", node.name, ".conf");
     std::ofstream(node.settings_path)
-        << "node-name=" << node.name << "\nip=127.0.0.1\nzone=north\ninternal-ports=" << ports[4] << ","
-        << ports[4] << "\nlisten.front=" << node.front << "\nlisten.ready=" << node.ready
+        << "node-name=" << node.name << "\nip=" << ip << "\nzone=" << zone << "\ninternal-ports=" << ports[4]
+        << "," << ports[4] << "\nlisten.front=" << node.front << "\nlisten.ready=" << node.ready
         << "\nlisten.directory=" << node.directory << "\nlisten.control=" << node.control
         << "\nplatform.address=" << store_address_
         << "\nbounds=grace-s=6,retry-budget-ratio=0.2,retry-budget-burst=60,"
--- a/tests/support/platform_deployment.h
+++ b/tests/support/platform_deployment.h
@@ -35,8 +35,8 @@
 public:
     /** Starts the store, publishes configuration version 1, and starts `nodes` gateways and `workers` workers
         per service. The services are "lookups" (route /l/, safe), "orders" (/o/, unsafe) and "files" (/f/,
-        download). Waits until all gateways are ready. */
-    platform_deployment(int nodes, int workers);
+        download). Waits until all gateways are ready. The gateways are spread over `failure_domains`. */
+    platform_deployment(int nodes, int workers, int failure_domains = 1);
 
     /** Writes a record of a topic. An empty value removes the key. */
     void put_record(const std::string& topic, const std::string& key, const std::string& value);
@@ -73,7 +73,8 @@
     /** Returns how many times all workers together have started a request. */
     int execution_count(const std::string& id);
 
-    /** Starts a gateway with a new name and free ports. */
+    /** Starts a gateway with a new name and free ports. Gateways are placed in the failure domains in turn;
+       with more than one, each has a loopback address of its own. */
     platform_node& start_node();
 
     /** Kills the gateway with this index and removes it from `nodes`. */
@@ -100,6 +101,7 @@
     std::string store_address_;
     std::vector<platform_worker> workers_;
     std::vector<platform_node> nodes_;
+    int failure_domains_;
     int started_{0};
 };
 
--- a/tests/suspect/suspect_test.cpp
+++ b/tests/suspect/suspect_test.cpp
@@ -210,6 +210,90 @@
     CHECK(action(first) == action_kind::refuse);
 }
 
+// Guards against cells of a large deployment that each count their own crashes of a request.
+TEST_CASE_FIXTURE(suspect_fixture, "suspect_table, crashes in several cells, are relayed and add up") {
+    suspect_table third(options, [](const upstream_loss&) { return false; });
+    for (auto* at : {&first, &second, &third}) {
+        crash(*at, request);
+        now = now + options.evidence_time;
+        const auto reports = at->take_changes(8, now, report_scope::other_cells);
+        REQUIRE(reports.size() == 1);
+        auto& next = at == &first ? second : third;
+        next.merge(reports, now, report_scope::other_cells);
+    }
+    CHECK(action(third) == action_kind::refuse);
+    CHECK(third.take_changes(8, now).size() == 1); // to its cell
+    CHECK(action(first) == action_kind::run);
+    first.merge(third.take_changes(8, now, report_scope::other_cells), now, report_scope::other_cells);
+    CHECK(action(first) == action_kind::refuse);
+}
+
+// Guards against reports that nodes relay to each other without end.
+TEST_CASE_FIXTURE(suspect_fixture, "suspect_table, report of another cell is not new, is not relayed") {
+    for (int n = 0; n < 30; ++n) { // more than a table keeps
+        crash(first, request);
+    }
+    int messages = 0;
+    for (; messages < 100; ++messages) {
+        now = now + millis{40}; // each message makes the times of the losses later
+        const auto from_first = first.take_changes(100, now, report_scope::other_cells);
+        const auto from_second = second.take_changes(100, now, report_scope::other_cells);
+        if (from_first.empty() && from_second.empty()) {
+            break;
+        }
+        second.merge(from_first, now, report_scope::other_cells);
+        first.merge(from_second, now, report_scope::other_cells);
+    }
+    CHECK(messages <= 2 * options.report_copies);
+}
+
+// Guards against copies that are lost at once and push out the crashes in sequence before them.
+TEST_CASE_FIXTURE(suspect_fixture,
+                  "suspect_table, many copies are lost at once, keeps the crashes in sequence") {
+    crash(first, request);
+    crash(first, request);
+    const auto sent = now;
+    now = now + millis{10};
+    for (std::uint32_t n = 0; n < 30; ++n) {
+        first.on_lost(request, {.upstream = 100 + n, .run = 1, .sent_at = sent, .lost_at = now + millis{n}},
+                      now);
+    }
+    CHECK(action(first) == action_kind::refuse);
+}
+
+// Guards against reports of a deadly request that wait behind those of a lost failure domain.
+TEST_CASE_FIXTURE(suspect_fixture,
+                  "suspect_table, many suspects with one crash, are reported for a limited time") {
+    for (std::uint64_t n = 100; n < 200; ++n) {
+        crash(first, n, millis{});
+    }
+    crash(first, request);
+    crash(first, request);
+    now = now + options.evidence_time;
+    const auto reports = first.take_changes(8, now);
+    CHECK(reports.size() == 8);
+    CHECK(reports.front().fingerprint == request);
+    now = now + options.single_report_time;
+    CHECK(first.take_changes(100, now).size() == 1);
+}
+
+// Guards against a node that never hears of some refused requests because there are more than fit a message.
+TEST_CASE_FIXTURE(suspect_fixture,
+                  "suspect_table, more refused requests than fit a message, reports all in turn") {
+    for (std::uint64_t n = 1; n <= 20; ++n) {
+        for (int times = 0; times < 3; ++times) {
+            crash(first, n);
+        }
+    }
+    std::set<std::uint64_t> told;
+    for (int message = 0; message < 3; ++message) {
+        for (const auto& it : first.refused(8, now)) {
+            told.insert(it.fingerprint);
+        }
+    }
+    CHECK(told.size() == 20);
+}
+
 // Guards against a node that sends a refused request to upstreams again because it has just started.
 TEST_CASE_FIXTURE(suspect_fixture, "suspect_table, node has just started, learns the refused requests") {
     for (int n = 0; n < 3; ++n) {
