Start trials of a refused request at one node of a large deployment

What callers saw: nothing yet; found while listing what differs with 139 nodes. When a refusal ends, each node tries the next copy that it gets, unless it has heard of another trial. With 15 copies per second and 0.1 to 0.3 s until cells hear of each other, several trials crash several upstreams, and more than three are too many.

Cause: the refusal ends at the same time at all nodes.

Change: each node waits a delay of its own, spread over 20 s by the hash of its name, before it starts a trial.

Measured: suspect_test, two nodes: without the delay both start a trial.

--- a/modules/berylcrank_gateway/flow/gateway_options.h
+++ b/modules/berylcrank_gateway/flow/gateway_options.h
@@ -32,12 +32,13 @@
     stop_options stops;
     retry_budget_limits retries;
     suspect_table::options suspects;
-    double warmup_factor{1};   ///< Factor on the request rate that a cold upstream tolerates.
-    double warmup_slack{0};    ///< Requests per second that are added to that rate.
-    millis address_ttl{2500};  ///< Time to live of a looked-up address list.
-    millis grace{6000};        ///< From the stop signal until the process is killed.
-    millis config_bound{2000}; ///< From a new configuration in the store until it is in force.
-    millis drain_bound{2000};  ///< From the store's word that an upstream leaves until its last request.
+    millis trial_spread{20000}; ///< The nodes' delays of trials of suspects are spread over this time.
+    double warmup_factor{1};    ///< Factor on the request rate that a cold upstream tolerates.
+    double warmup_slack{0};     ///< Requests per second that are added to that rate.
+    millis address_ttl{2500};   ///< Time to live of a looked-up address list.
+    millis grace{6000};         ///< From the stop signal until the process is killed.
+    millis config_bound{2000};  ///< From a new configuration in the store until it is in force.
+    millis drain_bound{2000};   ///< From the store's word that an upstream leaves until its last request.
 
     millis connect_timeout{350};   ///< Of a connection to an upstream. Round trips take a few milliseconds.
     millis default_timeout{10000}; ///< Of a request if neither the caller nor the route sets a timeout.
--- a/modules/berylcrank_gateway/flow/node_state.cpp
+++ b/modules/berylcrank_gateway/flow/node_state.cpp
@@ -11,6 +11,14 @@
 
 } // namespace
 
+suspect_table::options node_state::suspect_options() const {
+    constexpr std::uint64_t steps = 1024;
+    auto result = options.suspects;
+    result.trial_delay = options.trial_spread *
+                         (static_cast<double>(peers.self_number() % steps) / static_cast<double>(steps));
+    return result;
+}
+
 std::optional<load_snapshot> node_state::apply_response(upstream& it, const response_head& head,
                                                         instant connected_at, instant now) {
     if (head.status == 421) {
--- a/modules/berylcrank_gateway/flow/node_state.h
+++ b/modules/berylcrank_gateway/flow/node_state.h
@@ -31,7 +31,10 @@
         : time(time_source), wire(format), log(events), options(std::move(node_options)), random(seed),
           split(random.unit()), peers(options.self), shares(peers.self_number(), options.self.failure_domain),
           subset(upstreams, peers), connections(io, time),
-          suspects(options.suspects, [this](const upstream_loss& it) { return has_survived(it); }) {}
+          suspects(suspect_options(), [this](const upstream_loss& it) { return has_survived(it); }) {}
+
+    /** Returns the options of the suspects with this node's delay of trials. */
+    [[nodiscard]] suspect_table::options suspect_options() const;
 
     const clock& time;
     const wire_format& wire;
--- a/modules/berylcrank_suspect/table/suspect_table.cpp
+++ b/modules/berylcrank_suspect/table/suspect_table.cpp
@@ -68,7 +68,7 @@
     const auto last = it.losses.back().lost_at;
     const auto until = last + refusal_after(crashes);
     const bool in_trial = it.trial_started && now - *it.trial_started < options_.trial_timeout;
-    if (now >= until && !in_trial) {
+    if (now >= until + options_.trial_delay && !in_trial) {
         it.trial_started = now;
         mark_changed(it); // the other nodes start no trial meanwhile
         return {.action = action_kind::trial};
--- a/modules/berylcrank_suspect/table/suspect_table.h
+++ b/modules/berylcrank_suspect/table/suspect_table.h
@@ -84,6 +84,9 @@
         std::uint32_t crashes_to_refuse{3};
         millis refusal{60000};       ///< Duration of the first refusal.
         millis max_refusal{3600000}; ///< Upper bound of the doubled duration.
+        /** Time after a refusal before this node starts a trial. It differs between nodes, since all of them
+            would otherwise try the next copies before they hear of each other's trials. */
+        millis trial_delay{};
         millis lifetime{120000};     ///< A suspect is forgotten this time after its last crash or
                                      ///< the end of its refusal.
         millis trial_timeout{30000}; ///< A trial without an outcome is abandoned after this time.
--- a/tests/suspect/suspect_test.cpp
+++ b/tests/suspect/suspect_test.cpp
@@ -105,6 +105,27 @@
     CHECK(action(second) == action_kind::trial);
 }
 
+// Guards against trials at many nodes at once: each starts one before it hears of the others.
+TEST_CASE_FIXTURE(suspect_fixture,
+                  "suspect_table, refusal has passed at two nodes, only one starts a trial") {
+    auto later = options;
+    later.trial_delay = millis{5000};
+    suspect_table other(later, [](const upstream_loss&) { return false; });
+    for (int n = 0; n < 3; ++n) {
+        crash(first, request);
+    }
+    other.merge(first.refused(8, now), now);
+    now = now + options.refusal;
+    CHECK(action(first) == action_kind::trial);
+    CHECK(action(other) == action_kind::refuse);
+    crash(first, request);
+    other.merge(first.take_changes(8, now), now);
+    now = now + later.trial_delay;
+    CHECK(action(other) == action_kind::refuse); // for twice the time
+    now = now + options.refusal * 2.0;
+    CHECK(action(other) == action_kind::trial); // the other node got no copy
+}
+
 // Guards against a node that sends a suspect again by itself when one more crash would lead to its refusal.
 TEST_CASE_FIXTURE(suspect_fixture, "suspect_table, one crash is left until the refusal, allows no retry") {
     crash(first, request);
