Let the listener own its connections until they are closed

Cause: only the handler of a pending wait owned a connection; listener and exchanges held weak pointers. With a full pipeline a connection waits for nothing, was destroyed, and its exchanges were not told. Their flows ran on and their slots at upstreams stayed taken.

Change: the listener holds its connections until they are closed.

--- a/modules/berylcrank_gateway/server/http_listener.cpp
+++ b/modules/berylcrank_gateway/server/http_listener.cpp
@@ -1,6 +1,7 @@
 #include "modules/berylcrank_gateway/server/http_listener.h"
 
 #include <absl/strings/numbers.h>
+#include <algorithm>
 #include <boost/asio/ip/address.hpp>
 #include <stdexcept>
 
@@ -50,12 +51,11 @@
 }
 
 void http_listener::check_timeouts(instant now, bool close_idle) {
-    std::erase_if(connections_, [](const auto& it) { return it.expired(); });
     for (std::size_t i = 0; i < connections_.size(); ++i) {
-        if (const auto it = connections_[i].lock()) {
-            it->check_timeouts(now, close_idle);
-        }
+        const auto it = connections_[i];
+        it->check_timeouts(now, close_idle);
     }
+    std::erase_if(connections_, [](const auto& it) { return !it->open(); });
 }
 
 void http_listener::stop_accepting() {
@@ -80,20 +80,15 @@
 
 std::size_t http_listener::active() const {
     std::size_t n = 0;
-    for (const auto& weak : connections_) {
-        const auto it = weak.lock();
-        n += it && it->open() ? it->active() : 0;
+    for (const auto& it : connections_) {
+        n += it->open() ? it->active() : 0;
     }
     return n;
 }
 
 std::size_t http_listener::connections() const {
-    std::size_t n = 0;
-    for (const auto& weak : connections_) {
-        const auto it = weak.lock();
-        n += it && it->open() ? 1 : 0;
-    }
-    return n;
+    return static_cast<std::size_t>(
+        std::ranges::count_if(connections_, [](const auto& it) { return it->open(); }));
 }
 
 } // namespace berylcrank
--- a/modules/berylcrank_gateway/server/http_listener.h
+++ b/modules/berylcrank_gateway/server/http_listener.h
@@ -38,7 +38,7 @@
 
     listener_context context_;
     boost::asio::ip::tcp::acceptor acceptor_;
-    std::vector<std::weak_ptr<server_connection>> connections_;
+    std::vector<std::shared_ptr<server_connection>> connections_; // those closed since the last check as well
 };
 
 /** Parses "IP:PORT". Throws std::invalid_argument if the text is malformed. */
--- a/modules/berylcrank_gateway/server/server_connection.h
+++ b/modules/berylcrank_gateway/server/server_connection.h
@@ -23,7 +23,8 @@
 };
 
 /** A connection of a caller. Passes pipelined requests to the handler as they arrive, without waiting for the
-    responses to earlier ones.
+    responses to earlier ones. Its listener owns it until it is closed, and it notifies its exchanges when it
+    closes before their responses are complete.
 
     @see exchange, http_listener
 */
--- /dev/null
+++ b/tests/gateway/pipeline_test.cpp
@@ -0,0 +1,163 @@
+#include "modules/berylcrank_gateway/server/http_listener.h"
+
+#include <absl/strings/str_cat.h>
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/write.hpp>
+#include <chrono>
+#include <deque>
+#include <doctest/doctest.h>
+#include <functional>
+
+namespace berylcrank {
+
+namespace {
+
+using boost::asio::ip::tcp;
+
+// Keeps requests until the test responds to them.
+class holding_handler final : public request_handler {
+public:
+    void handle(const exchange_ptr& it) override {
+        it->on_disconnect = [this] { ++disconnected; };
+        held.push_back(it);
+        ++handled;
+    }
+    [[nodiscard]] bool closing() const override { return is_closing; }
+
+    // Responds to the oldest request with its target and body.
+    void respond_to_first() {
+        const auto it = held.front();
+        held.pop_front();
+        it->respond(200, "OK", {}, it->head.target + " " + it->body);
+    }
+
+    std::deque<exchange_ptr> held;
+    std::size_t handled{0};
+    int disconnected{0};
+    bool is_closing{false};
+};
+
+/** A listener on loopback and one caller that pipelines requests. The test drives both on one thread. */
+struct pipeline_fixture {
+    boost::asio::io_context io;
+    manual_clock time;
+    holding_handler handler;
+    ingress_limits limits;
+    listener_context context{
+        .time = time, .handler = handler, .limits = std::bind_front(&pipeline_fixture::current_limits, this)};
+    http_listener subject{io, "127.0.0.1:0", context};
+    tcp::socket caller{io};
+    std::string received;
+
+    pipeline_fixture() {
+        caller.connect({boost::asio::ip::address_v4::loopback(), subject.port()});
+        caller.non_blocking(true);
+        run_ready();
+    }
+
+    void run_ready() {
+        io.restart();
+        io.poll();
+        subject.check_timeouts(time.now(), handler.is_closing);
+        io.restart();
+        io.poll();
+    }
+
+    void send(std::string_view text) {
+        boost::asio::write(caller, boost::asio::buffer(text));
+        run_ready();
+    }
+
+    // Reads what has arrived. Returns false at the end of the connection.
+    bool receive() {
+        std::array<char, 65536> buf{};
+        boost::system::error_code ec;
+        while (!ec) {
+            const auto n = caller.read_some(boost::asio::buffer(buf), ec);
+            received.append(buf.data(), ec ? 0 : n);
+        }
+        return ec == boost::asio::error::would_block;
+    }
+
+    // Runs until `is_met` returns true. Returns false after 10 s.
+    bool run_until(const std::function<bool()>& is_met) {
+        const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+        while (!is_met()) {
+            if (std::chrono::steady_clock::now() >= deadline) {
+                return false;
+            }
+            run_ready();
+        }
+        return true;
+    }
+
+    // Responds to the requests as they arrive. Returns whether the responses to the first `count` were
+    // received in order, and nothing else.
+    bool respond_to_all(int count, bool has_body) {
+        return run_until([&] {
+            if (!handler.held.empty()) {
+                handler.respond_to_first();
+                run_ready();
+            }
+            receive();
+            return handler.held.empty() && has_received_all(count, has_body);
+        });
+    }
+
+    [[nodiscard]] const ingress_limits& current_limits() const { return limits; }
+
+    // Request number n. Its body looks like another request, so that a lost byte does not go unnoticed.
+    static std::string request(int n, bool has_body) {
+        const std::string body = has_body ? absl::StrCat("GET /body", n, " HTTP/1.1\r\nHost: b\r\n\r\n") : "";
+        return absl::StrCat(has_body ? "POST" : "GET", " /", n, " HTTP/1.1\r\nHost: a\r\n",
+                            has_body ? absl::StrCat("Content-Length: ", body.size(), "\r\n") : "", "\r\n",
+                            body);
+    }
+
+    static std::string requests(int count, bool has_body) {
+        std::string text;
+        for (int n = 0; n < count; ++n) {
+            text += request(n, has_body);
+        }
+        return text;
+    }
+
+    // Returns whether the responses to the requests 0 to count - 1 were received in order, and nothing else.
+    [[nodiscard]] bool has_received_all(int count, bool has_body) const {
+        std::size_t at = 0;
+        for (int n = 0; n < count; ++n) {
+            const auto body = absl::StrCat(
+                "/", n, " ", has_body ? absl::StrCat("GET /body", n, " HTTP/1.1\r\nHost: b\r\n\r\n") : "");
+            const auto end = received.find("\r\n\r\n", at);
+            if (end == std::string::npos || received.compare(end + 4, body.size(), body) != 0) {
+                return false;
+            }
+            at = end + 4 + body.size();
+        }
+        return at == received.size();
+    }
+};
+
+constexpr int full = static_cast<int>(server_connection::max_pipeline);
+
+} // namespace
+
+// Guards against flows that run on, and slots that stay taken, because their requests are not told that the
+// connection has closed.
+TEST_CASE_FIXTURE(
+    pipeline_fixture,
+    "server connection, caller disconnects while the pipeline is full, each request is told once") {
+    send(requests(full + 8, false));
+    REQUIRE(run_until([&] { return handler.held.size() == full; }));
+    caller.close();
+    CHECK(run_until([&] { return handler.disconnected == full; }));
+    CHECK(subject.connections() == 0);
+    CHECK(handler.handled == full);
+    handler.respond_to_first(); // has no effect
+    run_ready();
+    CHECK(handler.disconnected == full);
+}
+
+} // namespace berylcrank
