Keep all input that arrives while the pipeline of a connection is full

Cause: input behind a full pipeline was kept in a buffer. When a response left the pipeline, the connection parsed from it until the pipeline was full again, then read on and overwrote what was still kept.

Change: further input is appended, and parsed in order only. Reading pauses at 64 KiB of kept input instead of at a full pipeline, so that the end of the connection is noticed.

--- a/modules/berylcrank_gateway/server/server_connection.cpp
+++ b/modules/berylcrank_gateway/server/server_connection.cpp
@@ -34,7 +34,7 @@
 }
 
 void server_connection::wait_for_bytes() {
-    if (!open_ || waiting_) {
+    if (!open_ || waiting_ || unparsed_.size() >= max_unparsed) {
         return;
     }
     waiting_ = true;
@@ -58,18 +58,18 @@
         return;
     }
     last_activity_ = context_.time.now();
-    if (!no_more_requests_) {
+    if (!unparsed_.empty()) {
+        unparsed_.append(read_buffer.data(), n);
+    } else if (!no_more_requests_) {
         consume({read_buffer.data(), n});
     }
-    if (unparsed_.empty()) {
-        wait_for_bytes();
-    }
+    wait_for_bytes();
 }
 
 void server_connection::consume(std::string_view bytes) {
     while (!bytes.empty() && open_ && !no_more_requests_) {
         if (pipeline_.size() >= max_pipeline) {
-            unparsed_.assign(bytes);
+            unparsed_.append(bytes);
             return;
         }
         if (!feed(bytes)) {
@@ -160,8 +160,7 @@
         writer_.write(std::move(out), self, [self, last = last](bool ok) { self->on_written(ok, last); });
     }
     if (!unparsed_.empty() && pipeline_.size() < max_pipeline && open_) {
-        const auto bytes = std::move(unparsed_);
-        unparsed_.clear();
+        const auto bytes = std::exchange(unparsed_, {});
         consume(bytes);
         wait_for_bytes();
     }
@@ -185,6 +184,7 @@
     shut_down_ = true;
     last_activity_ = context_.time.now(); // the linger time starts when the last byte has been written
     no_more_requests_ = true;             // discards a request that arrives while the connection closes
+    unparsed_.clear();
     const auto behind = std::move(pipeline_);
     pipeline_.clear();
     // The caller sends requests again that it pipelined behind a response that closes the connection.
--- a/modules/berylcrank_gateway/server/server_connection.h
+++ b/modules/berylcrank_gateway/server/server_connection.h
@@ -30,8 +30,11 @@
 */
 class server_connection : public std::enable_shared_from_this<server_connection> {
 public:
-    /** Maximum number of requests without a complete response. Reading pauses at this number. */
+    /** Maximum number of requests without a complete response. Further ones are kept unparsed. */
     static constexpr std::size_t max_pipeline = 32;
+    /** Bytes of unparsed requests at which reading pauses. Reading goes on until then, because only a read
+        notices that the caller has closed the connection. */
+    static constexpr std::size_t max_unparsed = 65536;
     /** Time for which input is discarded after the last response. Closing a socket with unread input resets
         the connection, and the caller then loses the end of the response. */
     static constexpr millis linger_time{1000};
--- a/tests/gateway/pipeline_test.cpp
+++ b/tests/gateway/pipeline_test.cpp
@@ -144,6 +144,47 @@
 
 } // namespace
 
+// Guards against input that is overwritten while the pipeline is full, and against a connection that nothing
+// owns while it neither reads nor writes.
+TEST_CASE_FIXTURE(pipeline_fixture,
+                  "server connection, more requests than the pipeline holds, responds to each with its own") {
+    for (const bool has_body : {false, true}) {
+        for (const int count : {33, 64, 500}) {
+            CAPTURE(count);
+            CAPTURE(has_body);
+            received.clear();
+            handler.handled = 0;
+            const auto text = requests(count, has_body);
+            send(text.substr(0, text.size() / 2));
+            send(text.substr(text.size() / 2));
+            CHECK(run_until([&] { return handler.held.size() == full; }));
+            REQUIRE(subject.connections() == 1);
+            CHECK(respond_to_all(count, has_body));
+            CHECK(handler.handled == static_cast<std::size_t>(count));
+        }
+    }
+}
+
+// Guards against a request that loses bytes because the pipeline was full in the middle of it.
+TEST_CASE_FIXTURE(pipeline_fixture,
+                  "server connection, input split at each byte around the full pipeline, loses no byte") {
+    constexpr int count = full + 3;
+    for (const bool has_body : {false, true}) {
+        const auto text = requests(count, has_body);
+        const auto first = requests(full - 1, has_body).size();
+        for (auto at = first; at <= text.size(); ++at) {
+            CAPTURE(at);
+            received.clear();
+            send(text.substr(0, at));
+            REQUIRE(run_until([&] { return handler.held.size() >= full - 1; }));
+            handler.respond_to_first(); // makes room before the rest arrives
+            run_ready();
+            send(text.substr(at));
+            REQUIRE(respond_to_all(count, has_body));
+        }
+    }
+}
+
 // Guards against flows that run on, and slots that stay taken, because their requests are not told that the
 // connection has closed.
 TEST_CASE_FIXTURE(
@@ -160,4 +201,19 @@
     CHECK(handler.disconnected == full);
 }
 
+// Guards against memory that grows with what a caller sends while its requests wait.
+TEST_CASE_FIXTURE(pipeline_fixture,
+                  "server connection, caller sends on while the pipeline is full, stops reading") {
+    send(requests(full, false));
+    const std::string block(16384, 'x');
+    std::size_t sent = 0;
+    boost::system::error_code ec;
+    while (!ec && sent < (std::size_t{64} << 20U)) {
+        sent += caller.write_some(boost::asio::buffer(block), ec);
+        run_ready();
+    }
+    CHECK(ec == boost::asio::error::would_block); // the socket buffers of both ends are full
+    CHECK(subject.connections() == 1);
+}
+
 } // namespace berylcrank
