Accept no further request on a busy connection when the node stops

Cause: only the response to the last request of a pipeline asked the caller to close, so a caller that always has one more on the way was never asked. A last response that had begun before the stop never asked either.

Change: a stopping node takes no request behind those that the connection processes, so that the pipeline drains and its last response closes the connection. If that response had begun before, the connection closes behind it. A connection that is idle at the stop may carry one request. What is discarded was not read as a request, and callers send it again. A close without further output is no longer forgotten.

--- a/modules/berylcrank_gateway/server/server_connection.cpp
+++ b/modules/berylcrank_gateway/server/server_connection.cpp
@@ -68,6 +68,10 @@
 
 void server_connection::consume(std::string_view bytes) {
     while (!bytes.empty() && open_ && !no_more_requests_) {
+        if (closing() && !pipeline_.empty()) {
+            discard_input();
+            return;
+        }
         if (pipeline_.size() >= max_pipeline) {
             unparsed_.append(bytes);
             return;
@@ -144,7 +148,15 @@
             return {std::move(out), true};
         }
     }
-    return {std::move(out), false};
+    return {std::move(out), pipeline_.empty() && no_more_requests_};
+}
+
+// The caller sends the discarded requests again, because the connection closes without a response to them.
+void server_connection::discard_input() {
+    no_more_requests_ = true;
+    reading_message_ = false;
+    parser_.reset();
+    unparsed_.clear();
 }
 
 void server_connection::flush() {
@@ -156,7 +168,7 @@
     last_activity_ = context_.time.now();
     no_more_requests_ = no_more_requests_ || last;
     last_response_queued_ = last;
-    if (!out.empty()) {
+    if (!out.empty() || last) {
         writer_.write(std::move(out), self, [self, last = last](bool ok) { self->on_written(ok, last); });
     }
     if (!unparsed_.empty() && pipeline_.size() < max_pipeline && open_) {
--- a/modules/berylcrank_gateway/server/server_connection.h
+++ b/modules/berylcrank_gateway/server/server_connection.h
@@ -26,6 +26,9 @@
     responses to earlier ones. Its listener owns it until it is closed, and it notifies its exchanges when it
     closes before their responses are complete.
 
+    When the handler is closing, no further request is accepted behind those that it processes; the connection
+    closes behind their last response.
+
     @see exchange, http_listener
 */
 class server_connection : public std::enable_shared_from_this<server_connection> {
@@ -84,6 +87,7 @@
     void request_complete();
     void on_end_of_input();
     std::pair<std::string, bool> take_ready_output();
+    void discard_input();
     void on_written(bool ok, bool last);
     void close_gracefully();
 
--- a/tests/gateway/pipeline_test.cpp
+++ b/tests/gateway/pipeline_test.cpp
@@ -216,4 +216,58 @@
     CHECK(subject.connections() == 1);
 }
 
+// Guards against a stopping node that goes on with a caller that always has a further request under way,
+// until its exit cuts off the last ones.
+TEST_CASE_FIXTURE(
+    pipeline_fixture,
+    "server connection, node stops while requests run, the last of them closes the connection") {
+    send(requests(3, false));
+    REQUIRE(run_until([&] { return handler.held.size() == 3; }));
+    handler.respond_to_first();
+    run_ready();
+    handler.is_closing = true;
+    send(request(3, false)); // behind two that run
+    handler.respond_to_first();
+    run_ready();
+    send(request(4, false));
+    handler.respond_to_first();
+    CHECK(run_until([&] { return !receive(); }));
+    CHECK(handler.handled == 3);
+    CHECK(has_received_all(3, false));
+    const auto close = received.find("Connection: close");
+    CHECK(close > received.find("/1 "));
+    CHECK(received.find("Connection: close", close + 1) == std::string::npos);
+}
+
+// Guards against a connection that stays open, without reading, when the last response has begun before the
+// stop.
+TEST_CASE_FIXTURE(pipeline_fixture,
+                  "server connection, node stops after the last response has begun, closes behind it") {
+    send(request(0, false));
+    REQUIRE(run_until([&] { return !handler.held.empty(); }));
+    const auto it = handler.held.front();
+    it->begin(200, "OK", {}, 3);
+    it->append("/");
+    run_ready();
+    handler.is_closing = true;
+    send(request(1, false));
+    it->append("0 ");
+    it->finish();
+    CHECK(run_until([&] { return !receive(); }));
+    CHECK(has_received_all(1, false));
+    CHECK(handler.handled == 1);
+}
+
+// Guards against refusing the first request of a connection that was idle when the node began to stop.
+TEST_CASE_FIXTURE(
+    pipeline_fixture,
+    "server connection, node stops while the connection is idle, responds to one more request") {
+    handler.is_closing = true;
+    send(requests(2, false));
+    CHECK(respond_to_all(1, false));
+    CHECK(handler.handled == 1);
+    CHECK(received.find("Connection: close") != std::string::npos);
+    CHECK(run_until([&] { return !receive(); }));
+}
+
 } // namespace berylcrank
