Free the slot of a request in flight with its owner, show flows and slots in the metrics

What callers saw: after the faults of full pipelines, a node refused a service for ever because slots of requests that had ended were still counted.

Cause: an attempt counted its request in flight and had to remember to end the count on each path.

Change: the count is a guard object that the attempt owns. The gauges flows and slots_held show what is left.

--- a/modules/berylcrank_balance/berylcrank_balance.h
+++ b/modules/berylcrank_balance/berylcrank_balance.h
@@ -25,6 +25,7 @@
 #include "modules/berylcrank_balance/choice/upstream_subset.h"
 #include "modules/berylcrank_balance/config/route_table.h"
 #include "modules/berylcrank_balance/config/weighted_split.h"
+#include "modules/berylcrank_balance/load/in_flight_slot.h"
 #include "modules/berylcrank_balance/load/load_tracker.h"
 #include "modules/berylcrank_balance/load/median_durations.h"
 #include "modules/berylcrank_balance/peers/peer_table.h"
--- a/modules/berylcrank_balance/load/load_tracker.cpp
+++ b/modules/berylcrank_balance/load/load_tracker.cpp
@@ -99,6 +99,14 @@
     }
 }
 
+int load_tracker::own_in_flight() const {
+    int n = 0;
+    for (const auto& [number, it] : entries_) {
+        n += it.own;
+    }
+    return n;
+}
+
 int load_tracker::in_flight(const entry& it, instant now) const {
     const int counted = it.own + std::max(0, it.others);
     if (!it.reported) {
--- a/modules/berylcrank_balance/load/load_tracker.h
+++ b/modules/berylcrank_balance/load/load_tracker.h
@@ -86,6 +86,9 @@
     /** Sets whether upstreams also serve nodes that do not report their in-flight counts to this one. */
     void set_has_untracked_nodes(bool it) { has_untracked_nodes_ = it; }
 
+    /** Returns the number of this node's requests in flight at all upstreams. */
+    [[nodiscard]] int own_in_flight() const;
+
     /** Replaces the in-flight counts reported by the node `peer`. */
     void set_peer_in_flight(std::uint64_t peer, std::span<const in_flight_count> counts);
 
--- a/modules/berylcrank_gateway/flow/attempt.cpp
+++ b/modules/berylcrank_gateway/flow/attempt.cpp
@@ -18,8 +18,7 @@
 
 void attempt::start(std::string request, bool no_body) {
     self_reference_ = shared_from_this();
-    counted_in_flight_ = true;
-    node_.loads.sent(target_->number);
+    slot_ = in_flight_slot(node_.loads, target_->number);
     if (target_->cold_until > started_) {
         node_.warmups.sent(target_->number, started_);
     }
@@ -151,9 +150,7 @@
     }
     ended_ = true;
     result_ = result;
-    if (counted_in_flight_) {
-        node_.loads.ended(target_->number);
-    }
+    slot_.release();
     const auto self = std::move(self_reference_);
     if (owner_ != nullptr) {
         owner_->on_end(*this);
--- a/modules/berylcrank_gateway/flow/attempt.h
+++ b/modules/berylcrank_gateway/flow/attempt.h
@@ -93,13 +93,13 @@
     std::string request_id_;
     std::uint64_t upstream_run_;
     client_connection_ptr connection_;
+    in_flight_slot slot_;
     std::shared_ptr<attempt> self_reference_; // keeps the attempt alive until it ends
     instant started_;
     instant last_activity_;
     std::size_t received_{0};
     send_result result_{send_result::unknown};
     call_failure failure_{call_failure::no_response};
-    bool counted_in_flight_{false};
     bool ended_{false};
 };
 
--- a/modules/berylcrank_gateway/node/gateway_node.cpp
+++ b/modules/berylcrank_gateway/node/gateway_node.cpp
@@ -46,8 +46,9 @@
                                                           [this](const node_message& it) { on_message(it); }),
       ready_handler_(node_, [this] { return ready(); }),
       directory_handler_(node_, [this] { return ready(); }), state_handler_(node_, follower_),
-      control_handler_(node_, follower_, [this] { return gossip_.unreadable(); }), timer_(io),
-      started_(time.now()), last_tick_(started_) {
+      control_handler_(
+          node_, follower_, [this] { return gossip_.unreadable(); }, [this] { return gateway_.active(); }),
+      timer_(io), started_(time.now()), last_tick_(started_) {
     const auto listen = [&](const std::string& address, request_handler& handler) -> http_listener* {
         if (address.empty()) {
             return nullptr;
--- a/modules/berylcrank_gateway/node/node_handlers.cpp
+++ b/modules/berylcrank_gateway/node/node_handlers.cpp
@@ -119,6 +119,8 @@
         node_.metrics.set_gauge("config_version", static_cast<double>(node_.routes.version()));
         node_.metrics.set_gauge("live_nodes", static_cast<double>(node_.peers.live(now).size() + 1));
         node_.metrics.set_gauge("upstreams", static_cast<double>(node_.upstreams.all().size()));
+        node_.metrics.set_gauge("flows", static_cast<double>(active_flows_()));
+        node_.metrics.set_gauge("slots_held", static_cast<double>(node_.loads.own_in_flight()));
         node_.metrics.set_gauge("waiting_requests", static_cast<double>(node_.waiting.size()));
         node_.metrics.set_gauge("suspects", static_cast<double>(node_.suspects.size()));
         node_.metrics.set_gauge("suspect_losses", static_cast<double>(node_.suspects.losses()));
--- a/modules/berylcrank_gateway/node/node_handlers.h
+++ b/modules/berylcrank_gateway/node/node_handlers.h
@@ -60,16 +60,20 @@
 /** Serves status and metrics to operators. */
 class control_handler final : public request_handler {
 public:
-    /** `unreadable_datagrams` returns the number of datagrams that could not be decoded so far. */
+    /** `unreadable_datagrams` returns the number of datagrams that could not be decoded so far,
+       `active_flows` the number of requests without a complete response. */
     control_handler(node_state& node, const state_follower& follower,
-                    std::function<std::uint64_t()> unreadable_datagrams)
-        : node_(node), follower_(follower), unreadable_datagrams_(std::move(unreadable_datagrams)) {}
+                    std::function<std::uint64_t()> unreadable_datagrams,
+                    std::function<std::size_t()> active_flows)
+        : node_(node), follower_(follower), unreadable_datagrams_(std::move(unreadable_datagrams)),
+          active_flows_(std::move(active_flows)) {}
     void handle(const exchange_ptr& it) override;
 
 private:
     node_state& node_;
     const state_follower& follower_;
     std::function<std::uint64_t()> unreadable_datagrams_;
+    std::function<std::size_t()> active_flows_;
 };
 
 } // namespace berylcrank
