--- a/modules/berylcrank_suspect/table/suspect_table.cpp
+++ b/modules/berylcrank_suspect/table/suspect_table.cpp
@@ -295,8 +295,8 @@
     }
     // Starts after the last one of the message before, so that all are told in turn if there are many.
     std::ranges::sort(result, {}, &suspect_report::fingerprint);
-    std::ranges::rotate(result,
-                        std::ranges::upper_bound(result, last_refused_, {}, &suspect_report::fingerprint));
+    const auto next = std::ranges::upper_bound(result, last_refused_, {}, &suspect_report::fingerprint);
+    std::rotate(result.begin(), next, result.end());
     result.resize(std::min(result.size(), limit));
     last_refused_ = result.empty() ? 0 : result.back().fingerprint;
     return result;
