Reject responses of upstreams that are no valid HTTP/1.1

What callers saw: an upstream failed with status 000. Its callers waited for their whole time limit and got a 504, lookups too, although another upstream could serve them. A status from 600 to 999 was delivered as a response.

Cause: Beast accepts any three digits as a status, and the connection skipped all below 200 as interim responses, an unsolicited 101 included. Beast accepts repeated equal lengths, reads a body of an unknown transfer coding to the end of the connection, and ignores the framing of 1xx, 204 and 304, so that their bodies were dropped or read as the next response.

Change: message_framing states which status and framing fields a response may have; the parser rejects all others before any part is delivered, so that the attempt ends as "may have run" and the connection closes. So does input behind a 204 or 304 that is no response. A 304 that states a length is accepted and its connection is not reused.

Ruled out: 99, 2000, 1e2, an empty status, other versions, and negative or too large lengths were rejected before. That the status 000 itself reaches a caller was not reproduced on the gateway: it was skipped as interim.

--- a/modules/berylcrank_gateway/client/client_connection.cpp
+++ b/modules/berylcrank_gateway/client/client_connection.cpp
@@ -30,6 +30,20 @@
                                                                       : millis{seconds * 1000};
 }
 
+// Returns true if the input behind a complete response is the body of a response that has none. What looks
+// like another response is not: an upstream may send the response to an earlier request late.
+bool has_stray_body(const response_parser& it, std::string_view rest) {
+    constexpr std::string_view response_start = "HTTP/1.";
+    return it.is_done() && it.head.status >= 200 && is_bodyless_status(it.head.status) &&
+           rest.substr(0, response_start.size()) != response_start.substr(0, rest.size());
+}
+
+// Returns true if a body may still arrive for a complete response: a 304 may state the length of a body
+// without having one, so that an upstream that sends one cannot be told apart.
+bool may_have_body_to_come(const response_parser& it) {
+    return it.head.status == 304 && (it.head.length.value_or(0) > 0 || it.chunked());
+}
+
 } // namespace
 
 std::string_view to_string(call_failure it) {
@@ -160,6 +174,11 @@
             fail(call_->head_delivered ? call_failure::broken_off : call_failure::garbled);
             return;
         }
+        if (has_stray_body(*parser_, bytes)) {
+            error_ = "body in a response that has none";
+            fail(call_failure::garbled);
+            return;
+        }
         if (!notify_sink()) {
             return;
         }
@@ -199,7 +218,7 @@
 }
 
 void client_connection::response_complete(bool bytes_left) {
-    const bool stays_open = parser_->head.keep_alive;
+    const bool stays_open = parser_->head.keep_alive && !may_have_body_to_come(*parser_);
     parser_.reset();
     if (discarding_) {
         discarding_ = false;
--- a/modules/berylcrank_gateway/http/message_parser.h
+++ b/modules/berylcrank_gateway/http/message_parser.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "modules/berylcrank_gateway/http/message_head.h"
+#include "modules/berylcrank_gateway/http/message_framing.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/error.hpp>
@@ -114,6 +114,10 @@
             if (const auto n = this->content_length()) {
                 head.length = *n;
             }
+            if (!is_valid_framing(head)) {
+                ec = is_valid_status(head.status) ? boost::beast::http::error::bad_value
+                                                  : boost::beast::http::error::bad_status;
+            }
         }
     }
 
--- a/standins/platform_worker/worker.cpp
+++ b/standins/platform_worker/worker.cpp
@@ -2,6 +2,7 @@
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_replace.h>
 #include <absl/strings/str_split.h>
 #include <array>
 #include <boost/asio/buffer.hpp>
@@ -235,6 +236,8 @@
         const auto stale = absl::StrCat("HTTP/1.1 200 OK\r\n", mode == "late" ? "Request-Id: stale\r\n" : "",
                                         "Server-Signature: stale\r\nContent-Length: 5\r\n\r\nstale");
         send(it.from, stale + good);
+    } else if (mode == "status-000") {
+        send(it.from, absl::StrReplaceAll(good, {{"HTTP/1.1 200", "HTTP/1.1 000"}}));
     } else if (mode == "unsigned") {
         send(it.from, response(it.head, 200, "", body));
     } else {
--- a/tests/process/gateway_upstream_test.cpp
+++ b/tests/process/gateway_upstream_test.cpp
@@ -36,6 +36,29 @@
     }
 }
 
+// Guards against a malformed status that reaches the caller or keeps it waiting, and against a second run of
+// the order.
+TEST_CASE_FIXTURE(
+    gateway_upstream_fixture,
+    "gateway, upstream responds to an order with status 000, responds with 502 and never retries") {
+    configure_workers("orders", "mode=status-000");
+    const auto response = subject.request(node(), "POST", "/o/a", "o-000", "x");
+    CHECK(response.status == 502);
+    CHECK(response.header("Server-Signature").empty());
+    CHECK(subject.execution_count("o-000") == 1);
+}
+
+// Guards against a malformed status of one upstream that fails a lookup which another can serve.
+TEST_CASE_FIXTURE(gateway_upstream_fixture,
+                  "gateway, one upstream responds to lookups with status 000, serves them from the other") {
+    subject.configure_worker(*subject.workers_of("lookups")[0], "mode=status-000");
+    for (int n = 0; n < 4; ++n) {
+        const auto response = subject.request(node(), "GET", "/l/a", "l-000-" + std::to_string(n));
+        CHECK(response.status == 200);
+        CHECK(response.body.size() == 100);
+    }
+}
+
 // Guards against a 503 response without Retry-After, and against one for an order that ran.
 TEST_CASE_FIXTURE(gateway_upstream_fixture,
                   "gateway, all upstreams shed an order, responds with 503 and does not run it") {
