Refuse unknown transfer codings of requests, drop trailers

What callers saw: the body of a request with Transfer-Encoding gzip, identity, xchunked or "chunked, identity" was read as a further request and answered. Trailers were forwarded as header fields, a second Request-Id included.

Cause: Beast ignores codings other than a last chunked, and reports trailers as fields.

Change: the parser classifies all Transfer-Encoding fields. An unknown coding gets 501, an empty list or chunked that is not last 400, and the connection closes. Trailers are dropped, in requests and responses.

--- a/modules/berylcrank_gateway/http/message_parser.h
+++ b/modules/berylcrank_gateway/http/message_parser.h
@@ -10,7 +10,7 @@
 namespace berylcrank {
 
 /** Incremental parser of one HTTP/1.1 message, based on Boost.Beast. Stores the head and buffers the body for
-    the owner.
+    the owner. Drops trailers.
 
     @see request_head, response_head
 */
@@ -31,6 +31,11 @@
     head_type head;
     std::string body; ///< Received body bytes. The owner may clear it at any time.
 
+    /** Returns the error of a request whose Transfer-Encoding has a coding other than chunked. */
+    static boost::beast::error_code unknown_coding() {
+        return make_error_code(boost::system::errc::not_supported);
+    }
+
     /** Parses the part of `bytes` that belongs to this message and returns its length. This is the whole
         length of `bytes` unless the message ends earlier. Sets `ec` if the message is malformed. */
     std::size_t feed(std::string_view bytes, boost::beast::error_code& ec) {
@@ -103,6 +108,9 @@
     void on_field_impl(boost::beast::http::field /*field*/, string_view name, string_view value,
                        error_code& ec) override {
         ec = {};
+        if (this->is_header_done()) {
+            return; // a trailer; its receiver would take it for a header field
+        }
         head.headers.emplace_back(std::string(name.data(), name.size()),
                                   std::string(value.data(), value.size()));
     }
@@ -110,7 +118,14 @@
     void on_header_impl(error_code& ec) override {
         ec = {};
         head.keep_alive = this->keep_alive();
-        if constexpr (!is_request) {
+        if constexpr (is_request) {
+            const auto coding = parse_body_coding(head.headers);
+            if (coding == body_coding::unknown) {
+                ec = unknown_coding();
+            } else if (coding == body_coding::invalid) {
+                ec = boost::beast::http::error::bad_transfer_encoding;
+            }
+        } else {
             if (const auto n = this->content_length()) {
                 head.length = *n;
             }
--- a/modules/berylcrank_gateway/server/exchange.cpp
+++ b/modules/berylcrank_gateway/server/exchange.cpp
@@ -21,6 +21,8 @@
         return "Content Too Large";
     case 431:
         return "Request Header Fields Too Large";
+    case 501:
+        return "Not Implemented";
     case 502:
         return "Bad Gateway";
     case 503:
--- a/modules/berylcrank_gateway/server/server_connection.cpp
+++ b/modules/berylcrank_gateway/server/server_connection.cpp
@@ -94,7 +94,9 @@
     const auto used = parser_->feed(bytes, ec);
     bytes.remove_prefix(used);
     if (ec) {
-        reject(ec == boost::beast::http::error::header_limit ? 431 : 400);
+        reject(ec == boost::beast::http::error::header_limit ? 431
+               : ec == request_parser::unknown_coding()      ? 501
+                                                             : 400);
         return false;
     }
     const auto length = parser_->is_header_done() ? parser_->content_length() : boost::none;
