--- a/tests/support/platform_deployment.cpp
+++ b/tests/support/platform_deployment.cpp
@@ -54,8 +54,8 @@
 
 } // namespace
 
-platform_deployment::platform_deployment(int nodes, int workers, int failure_domains)
-    : failure_domains_(failure_domains) {
+platform_deployment::platform_deployment(int nodes, int workers, int failure_domains, std::string settings)
+    : failure_domains_(failure_domains), settings_(std::move(settings)) {
     store_ = std::make_unique<child>(std::vector<std::string>{program_path("standin_platform_store")});
     store_address_ = store_->wait_listening().at("http");
     put_operator_record("config", config(1));
@@ -170,7 +170,8 @@
         << "\nlisten.directory=" << node.directory << "\nlisten.control=" << node.control
         << "\nplatform.address=" << store_address_
         << "\nbounds=grace-s=6,retry-budget-ratio=0.2,retry-budget-burst=60,"
-           "warmup-factor=1.5,warmup-slack=5\n";
+           "warmup-factor=1.5,warmup-slack=5\n"
+        << settings_;
     node.process = std::make_unique<child>(
         std::vector<std::string>{program_path("berylcrank"), "gateway", "--settings", node.settings_path});
     nodes_.push_back(std::move(node));
--- a/tests/support/platform_deployment.h
+++ b/tests/support/platform_deployment.h
@@ -35,8 +35,9 @@
 public:
     /** Starts the store, publishes configuration version 1, and starts `nodes` gateways and `workers` workers
         per service. The services are "lookups" (route /l/, safe), "orders" (/o/, unsafe) and "files" (/f/,
-        download). Waits until all gateways are ready. The gateways are spread over `failure_domains`. */
-    platform_deployment(int nodes, int workers, int failure_domains = 1);
+        download). Waits until all gateways are ready. The gateways are spread over `failure_domains`.
+        `settings` holds additional lines of the gateways' settings files, each with its line end. */
+    platform_deployment(int nodes, int workers, int failure_domains = 1, std::string settings = "");
 
     /** Writes a record of a topic. An empty value removes the key. */
     void put_record(const std::string& topic, const std::string& key, const std::string& value);
@@ -102,6 +103,7 @@
     std::vector<platform_worker> workers_;
     std::vector<platform_node> nodes_;
     int failure_domains_;
+    std::string settings_;
     int started_{0};
 };
 
