Charge request bodies and input to an account of the node

Callers' view: a node that many clients sent large bodies to at once, stopping short of their end, ran out of memory and was killed with the requests of all callers.

Cause: each body was bounded by max-body-bytes, but nothing bounded the sum over connections.

Change: the parser's buffers, unparsed input and complete bodies of all listeners are charged to one memory_account of half of limits.memory-mb, before they grow. The charge is the capacity that a doubling string may reach. A complete body is charged until its exchange ends, with three copies: those that a request and its hedge send, and the one from which the second is serialized. When the account is short, long input without progress for 500 ms is refused first, the longest stalled one first, on whichever listener it is; otherwise the new request is. Both get 503 with Retry-After before they are forwarded, and the connection closes. Without limits.memory-mb nothing is limited.

The descriptors are not limited yet.

--- a/modules/berylcrank_gateway/flow/gateway_options.h
+++ b/modules/berylcrank_gateway/flow/gateway_options.h
@@ -26,6 +26,8 @@
     std::vector<std::string> failure_domains;
     double store_writes_per_second{0}; ///< Quota of the store for all nodes together; 0 if unknown.
 
+    std::size_t memory_bytes{0}; ///< That the process may use; 0 if unknown, for no limit on requests.
+
     choice_options choice;
     admission_options admission;
     hedge_options hedges;
--- a/modules/berylcrank_gateway/http/message_parser.h
+++ b/modules/berylcrank_gateway/http/message_parser.h
@@ -9,6 +9,13 @@
 
 namespace berylcrank {
 
+/** Upper bound of the capacity of a string after `n` bytes are appended in any number of pieces. An append
+   that exceeds the capacity at least doubles it. */
+inline std::size_t grown_capacity(const std::string& text, std::size_t n) {
+    const auto size = text.size() + n;
+    return size <= text.capacity() ? text.capacity() : 2 * size;
+}
+
 /** Incremental parser of one HTTP/1.1 message, based on Boost.Beast. Stores the head and buffers the body for
     the owner.
 
@@ -54,6 +61,14 @@
         return bytes.size();
     }
 
+    /** Number of bytes that the parser has allocated, without its own size. */
+    [[nodiscard]] std::size_t capacity() const { return body.capacity() + carry_.capacity() + head_bytes_; }
+
+    /** Upper bound of `capacity` while `n` further bytes are parsed, except for the fields of the head. */
+    [[nodiscard]] std::size_t capacity_with(std::size_t n) const {
+        return grown_capacity(body, n) + grown_capacity(carry_, n) + head_bytes_;
+    }
+
 private:
     void check_line_length(boost::beast::error_code& ec) const {
         if (this->is_header_done() && carry_.size() > max_line_bytes) {
@@ -77,7 +92,8 @@
         return used;
     }
 
-    std::string carry_; // an incomplete line, which Beast can only parse as a whole
+    std::string carry_;         // an incomplete line, which Beast can only parse as a whole
+    std::size_t head_bytes_{0}; // estimate for the fields of the head
 
     using string_view = boost::beast::string_view;
     using error_code = boost::beast::error_code;
@@ -105,6 +121,7 @@
         ec = {};
         head.headers.emplace_back(std::string(name.data(), name.size()),
                                   std::string(value.data(), value.size()));
+        head_bytes_ += name.size() + value.size() + sizeof(header_list::value_type);
     }
 
     void on_header_impl(error_code& ec) override {
--- a/modules/berylcrank_gateway/node/gateway_node.cpp
+++ b/modules/berylcrank_gateway/node/gateway_node.cpp
@@ -48,14 +48,16 @@
       directory_handler_(node_, [this] { return ready(); }), state_handler_(node_, follower_),
       control_handler_(node_, follower_, [this] { return gossip_.unreadable(); }), timer_(io),
       started_(time.now()), last_tick_(started_) {
+    const auto memory = std::make_shared<memory_account>(memory_account::options_for(options.memory_bytes));
     const auto listen = [&](const std::string& address, request_handler& handler) -> http_listener* {
         if (address.empty()) {
             return nullptr;
         }
         listeners_.push_back(std::make_unique<http_listener>(
-            io, address, listener_context{time, handler, [this]() -> const ingress_limits& {
-                                              return node_.routes.limits();
-                                          }}));
+            io, address,
+            listener_context{time, handler,
+                             [this]() -> const ingress_limits& { return node_.routes.limits(); }, memory,
+                             wire.headers().retry_after}));
         return listeners_.back().get();
     };
     node_.receive_messages = [this] { receive_messages(); };
--- a/modules/berylcrank_gateway/server/exchange.h
+++ b/modules/berylcrank_gateway/server/exchange.h
@@ -2,6 +2,7 @@
 
 #include "modules/berylcrank_core/time/instant.h"
 #include "modules/berylcrank_gateway/http/message_head.h"
+#include "modules/berylcrank_gateway/memory/memory_charge.h"
 
 #include <functional>
 #include <memory>
@@ -46,6 +47,9 @@
     /** Aborts the connection, so that the caller detects an incomplete response. */
     void abort();
 
+    /** Keeps the charge for the body until the exchange is destroyed. */
+    void hold(std::unique_ptr<memory_charge> charge) { charge_ = std::move(charge); }
+
     [[nodiscard]] bool begun() const { return begun_; }
     [[nodiscard]] bool finished() const { return finished_; }
     [[nodiscard]] bool disconnected() const { return disconnected_; }
@@ -61,6 +65,7 @@
     void on_caller_disconnected();
 
     std::weak_ptr<server_connection> connection_;
+    std::unique_ptr<memory_charge> charge_;
     std::string out_;
     bool begun_{false};
     bool chunked_{false};
--- a/modules/berylcrank_gateway/server/server_connection.cpp
+++ b/modules/berylcrank_gateway/server/server_connection.cpp
@@ -14,19 +14,33 @@
 // that was just accepted may be on its way.
 constexpr millis min_idle_time{250};
 
+// Copies of a body beside the received one: those that two attempts (a request and its hedge) send, and the
+// one from which the second is serialized.
+constexpr std::size_t attempt_copies = 3;
+
+constexpr std::string_view retry_after_seconds = "1"; // of a request that is refused for lack of memory
+
+// Bytes that a string has allocated. A short one is stored in the string object.
+std::size_t allocated(const std::string& it) {
+    return it.capacity() > std::string().capacity() ? it.capacity() : 0;
+}
+
+std::string address_of(const boost::asio::ip::tcp::socket& socket) {
+    boost::system::error_code ec;
+    const auto peer = socket.remote_endpoint(ec);
+    return ec ? std::string() : peer.address().to_string();
+}
+
 constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
 
 } // namespace
 
 server_connection::server_connection(boost::asio::ip::tcp::socket socket, listener_context& context)
-    : socket_(std::move(socket)), context_(context), writer_(socket_), last_activity_(context.time.now()) {
+    : socket_(std::move(socket)), context_(context), writer_(socket_), caller_(address_of(socket_)),
+      input_charge_(context.memory, caller_, [this] { shed_input(); }), last_activity_(context.time.now()) {
     boost::system::error_code ec;
     socket_.non_blocking(true, ec);
     socket_.set_option(boost::asio::ip::tcp::no_delay(true), ec);
-    const auto peer = socket_.remote_endpoint(ec);
-    if (!ec) {
-        caller_ = peer.address().to_string();
-    }
 }
 
 void server_connection::start() {
@@ -59,7 +73,7 @@
     }
     last_activity_ = context_.time.now();
     if (!unparsed_.empty()) {
-        unparsed_.append(read_buffer.data(), n);
+        keep_unparsed({read_buffer.data(), n});
     } else if (!no_more_requests_) {
         consume({read_buffer.data(), n});
     }
@@ -73,7 +87,7 @@
             return;
         }
         if (pipeline_.size() >= max_pipeline) {
-            unparsed_.append(bytes);
+            keep_unparsed(bytes);
             return;
         }
         if (!feed(bytes)) {
@@ -89,6 +103,10 @@
         parser_->header_limit(limits.header_bytes);
     }
     reading_message_ = true;
+    if (!charge_input(parser_->capacity_with(bytes.size()), allocated(unparsed_))) {
+        reject(503);
+        return false;
+    }
     const bool had_head = parser_->is_header_done();
     boost::beast::error_code ec;
     const auto used = parser_->feed(bytes, ec);
@@ -97,6 +115,10 @@
         reject(ec == boost::beast::http::error::header_limit ? 431 : 400);
         return false;
     }
+    if (!charge_input(parser_->capacity(), allocated(unparsed_))) { // the fields of the head take more
+        reject(503);
+        return false;
+    }
     const auto length = parser_->is_header_done() ? parser_->content_length() : boost::none;
     if (parser_->body.size() > limits.body_bytes || (length && *length > limits.body_bytes)) {
         reject(413);
@@ -116,21 +138,57 @@
 void server_connection::request_complete() {
     auto parser = std::move(parser_);
     reading_message_ = false;
+    input_charge_.reduce(allocated(unparsed_));
+    auto charge = std::make_unique<memory_charge>(context_.memory, caller_);
+    const auto& body = parser->body;
+    if (!body.empty() &&
+        !charge->resize(body.capacity() + attempt_copies * body.size(), context_.time.now())) {
+        reject(503);
+        return;
+    }
     no_more_requests_ = !parser->head.keep_alive;
     const auto it = std::make_shared<exchange>(shared_from_this(), std::move(parser->head),
                                                std::move(parser->body), caller_, context_.time.now());
+    it->hold(std::move(charge));
     pipeline_.push_back(it);
     context_.handler.handle(it);
 }
 
+// Returns false if the account is short. A reduction always succeeds.
+bool server_connection::charge_input(std::size_t parser_bytes, std::size_t unparsed_bytes) {
+    return input_charge_.resize(parser_bytes + unparsed_bytes, context_.time.now());
+}
+
+void server_connection::keep_unparsed(std::string_view bytes) {
+    if (!charge_input(parser_ ? parser_->capacity() : 0, grown_capacity(unparsed_, bytes.size()))) {
+        shed_input();
+        return;
+    }
+    unparsed_.append(bytes);
+}
+
+// Refuses the first request of which not all input is parsed. The caller sends those behind it again.
+void server_connection::shed_input() {
+    unparsed_ = {};
+    if (open_ && !no_more_requests_) {
+        reject(503);
+    }
+    parser_.reset();
+    reading_message_ = false;
+    input_charge_.reduce(0);
+}
+
 void server_connection::reject(int status) {
     parser_.reset();
+    input_charge_.reduce(allocated(unparsed_));
     reading_message_ = false;
     no_more_requests_ = true;
     const auto it = std::make_shared<exchange>(shared_from_this(), request_head{.keep_alive = false}, "",
                                                caller_, context_.time.now());
     pipeline_.push_back(it);
-    it->respond(status, reason_phrase(status), {}, "");
+    const auto headers =
+        status == 503 ? header_list{{context_.retry_after, std::string(retry_after_seconds)}} : header_list{};
+    it->respond(status, reason_phrase(status), headers, "");
 }
 
 // Returns the output that can be sent in order, and whether its last response closes the connection.
--- a/modules/berylcrank_gateway/server/server_connection.h
+++ b/modules/berylcrank_gateway/server/server_connection.h
@@ -20,12 +20,19 @@
     const clock& time;
     request_handler& handler;
     std::function<const ingress_limits&()> limits; ///< Returns the current limits for requests.
+    /** Limits the memory for requests of all connections of the node. */
+    std::shared_ptr<memory_account> memory = std::make_shared<memory_account>(memory_account::options{});
+    std::string retry_after = "Retry-After"; ///< Name of the header with the seconds until a retry.
 };
 
 /** A connection of a caller. Passes pipelined requests to the handler as they arrive, without waiting for the
     responses to earlier ones. Its listener owns it until it is closed, and it notifies its exchanges when it
     closes before their responses are complete.
 
+    The memory for input and bodies is charged to the account of the node before it is allocated. If the
+   account is short, the request gets a response with status 503 before it is forwarded, and the connection
+   closes.
+
     When the handler is closing, no further request is accepted behind those that it processes; the connection
     closes behind their last response.
 
@@ -85,6 +92,9 @@
     bool feed(std::string_view& bytes);
     void reject(int status);
     void request_complete();
+    bool charge_input(std::size_t parser_bytes, std::size_t unparsed_bytes);
+    void keep_unparsed(std::string_view bytes);
+    void shed_input();
     void on_end_of_input();
     std::pair<std::string, bool> take_ready_output();
     void discard_input();
@@ -97,7 +107,8 @@
     std::string caller_; // IP address
     std::unique_ptr<request_parser> parser_;
     std::deque<exchange_ptr> pipeline_;
-    std::string unparsed_; // bytes that arrived while the pipeline was full
+    std::string unparsed_;       // bytes that arrived while the pipeline was full
+    memory_charge input_charge_; // for parser_ and unparsed_
     instant last_activity_;
     std::size_t last_pending_{0}; // at the last check of the timeouts
     bool open_{true};
