Show a shortage of memory for requests in the log and the metrics

What operators saw: refusals for lack of memory left no trace in the log or the metrics of a node.

Change: the line "memory-short" is written once when a shortage begins; a shortage ends after 10 s without a refusal. The gauges caller_connections, memory_charged_bytes, memory_refused and memory_shed are updated every 500 ms.

A new case of gateway_crowd_test checks the single line and the gauges. The new case was not run on the code before.

--- a/modules/berylcrank_gateway/memory/memory_account.cpp
+++ b/modules/berylcrank_gateway/memory/memory_account.cpp
@@ -18,6 +18,7 @@
             break;
         }
         if (!shed_one(it, !address_fits, now)) {
+            ++refused_;
             return false;
         }
     }
@@ -62,6 +63,7 @@
     }
     auto& it = **found;
     const auto before = it.bytes_;
+    ++shed_;
     it.shed_();
     return it.bytes_ < before;
 }
--- a/modules/berylcrank_gateway/memory/memory_account.h
+++ b/modules/berylcrank_gateway/memory/memory_account.h
@@ -40,6 +40,10 @@
 
     /** Number of bytes charged. */
     [[nodiscard]] std::size_t used() const { return used_; }
+    /** Number of times that a charge did not fit. */
+    [[nodiscard]] std::size_t refused() const { return refused_; }
+    /** Number of charges that were shed for others. */
+    [[nodiscard]] std::size_t shed() const { return shed_; }
 
 private:
     friend class memory_charge;
@@ -54,6 +58,8 @@
     options options_;
     std::size_t used_{0};
     std::size_t used_by_long_{0};
+    std::size_t refused_{0};
+    std::size_t shed_{0};
     absl::flat_hash_map<std::string, std::size_t> used_by_address_;
     std::list<memory_charge*> by_progress_; // the one without progress for the longest time is the first
 };
--- a/modules/berylcrank_gateway/node/gateway_node.cpp
+++ b/modules/berylcrank_gateway/node/gateway_node.cpp
@@ -8,7 +8,10 @@
 
 namespace {
 
-constexpr millis sweep_interval{500};   // between checks for idle connections
+constexpr millis sweep_interval{500}; // between checks for idle connections
+// Time without a refusal after which a shortage of memory has ended, longer than the pauses of callers that
+// retry.
+constexpr millis shortage_end{10000};
 constexpr millis rank_interval{50};     // between updates of this node's rank among the readers of the store
 constexpr millis pause_threshold{1500}; // a longer gap between ticks is logged as a pause of the process
 constexpr std::size_t max_state_response = 64U << 20U; // bytes of a response with records
@@ -48,7 +51,7 @@
       directory_handler_(node_, [this] { return ready(); }), state_handler_(node_, follower_),
       control_handler_(node_, follower_, [this] { return gossip_.unreadable(); }), timer_(io),
       started_(time.now()), last_tick_(started_) {
-    const auto memory = std::make_shared<memory_account>(memory_account::options_for(options.memory_bytes));
+    memory_ = std::make_shared<memory_account>(memory_account::options_for(options.memory_bytes));
     const auto listen = [&](const std::string& address, request_handler& handler) -> http_listener* {
         if (address.empty()) {
             return nullptr;
@@ -56,7 +59,7 @@
         listeners_.push_back(std::make_unique<http_listener>(
             io, address,
             listener_context{time, handler,
-                             [this]() -> const ingress_limits& { return node_.routes.limits(); }, memory,
+                             [this]() -> const ingress_limits& { return node_.routes.limits(); }, memory_,
                              wire.headers().retry_after}));
         return listeners_.back().get();
     };
@@ -122,6 +125,29 @@
     gossip_.poll();
 }
 
+void gateway_node::report_memory(instant now) {
+    std::size_t connections = 0;
+    for (const auto& it : listeners_) {
+        connections += it->connections();
+    }
+    node_.metrics.set_gauge("caller_connections", static_cast<double>(connections));
+    node_.metrics.set_gauge("memory_charged_bytes", static_cast<double>(memory_->used()));
+    node_.metrics.set_gauge("memory_refused", static_cast<double>(memory_->refused()));
+    node_.metrics.set_gauge("memory_shed", static_cast<double>(memory_->shed()));
+    const auto refusals = memory_->refused() + memory_->shed();
+    if (refusals == memory_refusals_) {
+        return;
+    }
+    if (memory_refusals_ == 0 || now - memory_short_at_ > shortage_end) {
+        log_.line("memory-short")
+            .field("charged_bytes", memory_->used())
+            .field("connections", connections)
+            .send();
+    }
+    memory_refusals_ = refusals;
+    memory_short_at_ = now;
+}
+
 void gateway_node::tick(instant now) {
     receive_messages();
     discover(now);
@@ -139,6 +165,7 @@
             it->check_timeouts(now, close_idle && it.get() == front_);
         }
         node_.connections.expire();
+        report_memory(now);
     }
     if (ready() != was_ready_) {
         was_ready_ = ready();
--- a/tests/gateway/memory_account_test.cpp
+++ b/tests/gateway/memory_account_test.cpp
@@ -71,6 +71,8 @@
     CHECK(third.resize(300, start + millis{501}));
     CHECK(first.bytes() == 400);
     CHECK(second.bytes() == 0);
+    CHECK(subject->refused() == 1);
+    CHECK(subject->shed() == 1);
 }
 
 // Guards against closing connections of other callers for the sake of a caller who is over its own limit.
--- a/tests/process/gateway_crowd_test.cpp
+++ b/tests/process/gateway_crowd_test.cpp
@@ -3,10 +3,10 @@
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
+#include <csignal>
 #include <doctest/doctest.h>
 #include <filesystem>
 #include <fstream>
-#include <signal.h>
 #include <vector>
 
 namespace berylcrank::testing {
@@ -125,4 +125,21 @@
     check_node();
 }
 
+// Guards against a shortage that operators cannot see, and against a log line for each refused request.
+TEST_CASE_FIXTURE(gateway_crowd_fixture,
+                  "gateway, memory for requests is short, logs it once and shows gauges") {
+    send_from_all(node().front, declared_body());
+    auto& log = *node().process;
+    log.wait_line("\"event\":\"memory-short\"");
+    const auto metrics = send({.address = node().control, .path = "/metrics"}).body;
+    CHECK(metrics.find("kind=\"memory_refused\"") != std::string::npos);
+    CHECK(metrics.find("kind=\"memory_shed\"") != std::string::npos);
+    CHECK(metrics.find("kind=\"memory_charged_bytes\"") != std::string::npos);
+    CHECK(metrics.find("kind=\"caller_connections\"") != std::string::npos);
+    log.send(SIGTERM);
+    CHECK(log.wait_exit() == 0);
+    const auto& text = log.output();
+    CHECK(text.find("\"memory-short\"") == text.rfind("\"memory-short\""));
+}
+
 } // namespace berylcrank::testing
