Admit no request to a cold upstream at a stopping node

Cause: a node that stops is not ready, so that the next node takes over its cold upstreams. peer_table::owns() checks whether the other nodes are ready, but not whether its own node is: the stopping node went on to admit until its end.

Change: peer_table::admits() states whether this node may admit to a cold upstream: it owns the upstream and is ready. Probes still go by owns(), so that a load is known while no node is ready.

--- a/modules/berylcrank_balance/peers/peer_table.h
+++ b/modules/berylcrank_balance/peers/peer_table.h
@@ -100,6 +100,9 @@
     [[nodiscard]] const node_info& self() const { return self_; }
     [[nodiscard]] std::uint64_t self_number() const { return self_number_; }
 
+    /** Sets whether this node is ready: it can route requests and is not stopping. */
+    void set_ready(bool ready) { ready_ = ready; }
+
     /** Adds a node whose address comes from the store or from another node; returns whether it is new. */
     bool learn(const node_info& it, instant now);
 
@@ -169,6 +172,10 @@
         of its cell. */
     [[nodiscard]] bool owns(std::uint64_t key, instant now) const;
 
+    /** Returns whether this node may admit requests to the cold upstream `key`: it owns the key and is ready
+        itself, because the other nodes take a node that is not ready as replaced. */
+    [[nodiscard]] bool admits(std::uint64_t key, instant now) const { return ready_ && owns(key, now); }
+
     /** Returns the largest number of nodes that were known at once, including this one. Not all of a large
         deployment are heard at any moment. */
     [[nodiscard]] std::size_t max_known_count() const { return max_known_count_; }
@@ -181,6 +188,7 @@
 
     node_info self_;
     std::uint64_t self_number_;
+    bool ready_{false};
     absl::flat_hash_map<std::uint64_t, peer> peers_;
     absl::flat_hash_set<std::uint64_t> was_live_;
     absl::flat_hash_map<std::string, std::size_t> node_counts_; // by failure domain, including this node
--- a/modules/berylcrank_gateway/flow/node_state.h
+++ b/modules/berylcrank_gateway/flow/node_state.h
@@ -86,8 +86,7 @@
                    : it->warm_up_per_second * options.warmup_factor + options.warmup_slack;
     }
 
-    /** Returns true if this node is the one that probes an upstream and sends requests to it while it is
-        cold. */
+    /** Returns true if this node is the one that probes an upstream and reports its warm-up time. */
     [[nodiscard]] bool is_responsible_for(const upstream& it, instant now) const {
         return subset.is_home(it) && peers.owns(it.number, now);
     }
@@ -95,8 +94,8 @@
     /** Returns true if this node may send a request to a cold upstream now. */
     [[nodiscard]] bool may_send_to_cold(const upstream& it, instant now) {
         const double rate = cold_request_rate(it.entry.service);
-        return rate <= 0 || (now >= membership_valid_from && is_responsible_for(it, now) &&
-                             warmups.allows(it.number, rate, now));
+        return rate <= 0 || (now >= membership_valid_from && subset.is_home(it) &&
+                             peers.admits(it.number, now) && warmups.allows(it.number, rate, now));
     }
 
     /** Returns true if an upstream has responded after the loss of a connection, without a start since. Its
--- a/tests/balance/peers_test.cpp
+++ b/tests/balance/peers_test.cpp
@@ -65,6 +65,34 @@
     CHECK(ranks.size() == 13);
 }
 
+// Guards against two nodes that admit requests to one cold upstream: a stopping node and the next one.
+TEST_CASE_FIXTURE(deployment_fixture, "peer_table, owner of a key stops, the next node alone admits") {
+    start(13, {"a"});
+    const auto admitting = [this](instant now) {
+        std::vector<std::size_t> result;
+        for (std::size_t i = 0; i < tables.size(); ++i) {
+            if (tables[i]->admits(7, now)) {
+                result.push_back(i);
+            }
+        }
+        return result;
+    };
+    for (auto& table : tables) {
+        table->set_ready(true);
+    }
+    const auto before = admitting(at(1100));
+    REQUIRE(before.size() == 1);
+    tables[before.front()]->set_ready(false);
+    CHECK(admitting(at(1100)).empty());
+    for (auto& table : tables) {
+        table->on_heartbeat({.number = node_number(nodes[before.front()]), .incarnation = 1000, .beat = 2},
+                            at(1150));
+    }
+    const auto after = admitting(at(1150));
+    REQUIRE(after.size() == 1);
+    CHECK(after.front() != before.front());
+}
+
 // Records must not be read late because the first-ranked nodes cannot reach the store.
 TEST_CASE_FIXTURE(deployment_fixture,
                   "peer_table, first node cannot read the store, one that can has rank 0") {
--- a/tests/gateway/node_state_test.cpp
+++ b/tests/gateway/node_state_test.cpp
@@ -26,6 +26,7 @@
         deployment_config config{.version = 1};
         config.services.push_back({.name = "s", .warm_up = millis{3000}, .warm_up_per_second = 20});
         subject.routes.apply(std::move(config));
+        subject.peers.set_ready(true);
         subject.upstreams.apply({.id = "a",
                                  .service = "s",
                                  .address = "10.0.0.2:80",
@@ -52,6 +53,13 @@
     CHECK(subject.may_send_to_cold(target(), heard));
 }
 
+// Guards against a stopping node that admits requests to a cold upstream beside the node that replaces it.
+TEST_CASE_FIXTURE(node_state_fixture, "node_state, node stops, sends to no cold upstream") {
+    subject.peers.set_ready(false);
+    CHECK_FALSE(subject.may_send_to_cold(target(), at(1000)));
+    CHECK(subject.is_responsible_for(target(), at(1000))); // it still probes while no other node does
+}
+
 // Callers that queue behind a paused upstream must not wait longer than it asked for, nor less.
 TEST_CASE_FIXTURE(node_state_fixture,
                   "node_state, several or malformed retry headers, the longest valid one counts") {
