--- a/modules/berylcrank_gateway/node/gateway_node.cpp
+++ b/modules/berylcrank_gateway/node/gateway_node.cpp
@@ -153,6 +153,7 @@
     receive_messages();
     discover(now);
     tick_follower(now);
+    node_.peers.set_ready(ready(), now);
     node_.upstreams.expire(now);
     exchange_messages(now);
     pull_state_if_due(now);
@@ -198,6 +199,7 @@
     }
     stopping_ = true;
     stop_started_ = time_.now();
+    node_.peers.set_ready(false, stop_started_);
     gateway_.stop(stop_started_, stop_started_ + node_.options.grace - stop_margin);
     next_hello_ = stop_started_;
     next_message_ = stop_started_;
