Split the tests of suspects by class

Change: the fixture moves to suspect_fixture.h, the cases of request_suspicion and of fingerprints to request_suspicion_test.cpp; no case or check is changed.

--- a/tests/suspect/suspect_test.cpp
+++ b/tests/suspect/suspect_test.cpp
@@ -1,67 +1,14 @@
 #include "modules/berylcrank_core/random/random_source.h"
-#include "modules/berylcrank_suspect/berylcrank_suspect.h"
+#include "tests/suspect/suspect_fixture.h"
 
 #include <doctest/doctest.h>
-#include <set>
-#include <utility>
 
 namespace berylcrank {
 
 namespace {
 
 using action_kind = suspect_verdict::action_kind;
-
-// Two nodes that exchange all their reports with `exchange_reports`.
-struct suspect_fixture {
-    static constexpr std::uint64_t request = 42;
-    static constexpr std::uint64_t bystander = 43;
-
-    std::set<std::pair<std::uint32_t, std::uint64_t>> survivors;
-    suspect_table::options options;
-    suspect_table first{options, [this](const upstream_loss& it) { return has_survived(it); }};
-    suspect_table second{options, [this](const upstream_loss& it) { return has_survived(it); }};
-    instant now{millis{1000}};
-    std::uint32_t next_upstream{1};
-
-    [[nodiscard]] bool has_survived(const upstream_loss& it) const {
-        return survivors.contains({it.upstream, it.run});
-    }
-
-    // Sends a request to an upstream that has not been used yet, which crashes after `duration`.
-    void crash(suspect_table& at, std::uint64_t fingerprint, millis duration = millis{5}) {
-        const auto sent = now;
-        now = now + duration;
-        at.on_lost(fingerprint, {.upstream = next_upstream++, .run = 1, .sent_at = sent, .lost_at = now},
-                   now);
-    }
-
-    void exchange_reports() {
-        const auto from_first = first.take_changes(100, now);
-        const auto from_second = second.take_changes(100, now);
-        second.merge(from_first, now);
-        first.merge(from_second, now);
-    }
-
-    // The same request from the caller number `caller`.
-    static request_fingerprints caller_request(std::uint64_t caller) {
-        return {.of_caller = 1000 + caller, .of_request = request};
-    }
-
-    void crash(suspect_table& at, const request_fingerprints& fingerprints) {
-        const auto sent = now;
-        now = now + millis{5};
-        request_suspicion(at, fingerprints)
-            .on_lost({.upstream = next_upstream++, .run = 1, .sent_at = sent, .lost_at = now}, now);
-    }
-
-    action_kind action(suspect_table& at, const request_fingerprints& fingerprints) {
-        return request_suspicion(at, fingerprints).check(now).action;
-    }
-
-    action_kind action(suspect_table& at, std::uint64_t fingerprint = request) {
-        return at.check(fingerprint, now).action;
-    }
-};
+using testing::suspect_fixture;
 
 } // namespace
 
@@ -344,69 +291,6 @@
 }
 
 // Guards against identities that are equal when their fields are joined, and against one that ignores a
-// field.
-TEST_CASE("request fingerprints, any field differs, differ") {
-    const request_identity it{.method = "GET", .host = "h", .target = "/a", .caller = "1", .body = "x"};
-    const auto fingerprints = fingerprints_of(it);
-    CHECK(fingerprints == fingerprints_of(it));
-    std::set<std::uint64_t> all{fingerprints.of_caller, fingerprints.of_request};
-    for (auto field : {&request_identity::method, &request_identity::host, &request_identity::target,
-                       &request_identity::body}) {
-        auto other = it;
-        other.*field = "other";
-        all.insert(fingerprints_of(other).of_caller);
-        all.insert(fingerprints_of(other).of_request);
-    }
-    all.insert(fingerprints_of({.method = "GET", .host = "h", .target = "/a1", .caller = "", .body = "x"})
-                   .of_caller);
-    CHECK(all.size() == 11);
-}
-
-// Guards against a request that has as many crashes as it has callers' addresses before it is refused.
-TEST_CASE("request fingerprints, caller differs, only the hash of the request is equal") {
-    const auto first =
-        fingerprints_of({.method = "GET", .host = "h", .target = "/a", .caller = "1", .body = "x"});
-    const auto second =
-        fingerprints_of({.method = "GET", .host = "h", .target = "/a", .caller = "2", .body = "x"});
-    CHECK(first.of_request == second.of_request);
-    CHECK(first.of_caller != second.of_caller);
-}
-
-// Guards against a request that crashes an upstream for each address that it comes from.
-TEST_CASE_FIXTURE(suspect_fixture,
-                  "request suspicion, crashes come from several callers, refuses all callers") {
-    for (std::uint64_t caller = 1; caller <= 3; ++caller) {
-        CHECK(action(first, caller_request(caller)) == action_kind::run);
-        crash(first, caller_request(caller));
-    }
-    CHECK(action(first, caller_request(4)) == action_kind::refuse);
-    exchange_reports();
-    CHECK(action(second, caller_request(5)) == action_kind::refuse);
-}
-
-// Guards against a request that crashes upstreams for one caller without end because it succeeds for others.
-TEST_CASE_FIXTURE(
-    suspect_fixture,
-    "request suspicion, request succeeds for other callers, refuses it to the caller it crashes for") {
-    for (int n = 0; n < 3; ++n) {
-        crash(first, caller_request(1));
-        request_suspicion(first, caller_request(2)).on_success(now);
-    }
-    CHECK(action(first, caller_request(1)) == action_kind::refuse);
-    CHECK(action(first, caller_request(2)) == action_kind::run);
-}
-
-// Guards against a trial that is started but not sent, because the other entry of the request refuses it.
-TEST_CASE_FIXTURE(suspect_fixture, "request suspicion, one entry refuses, starts no trial of the other") {
-    for (int n = 0; n < 3; ++n) {
-        crash(first, caller_request(1));
-    }
-    crash(first, caller_request(1).of_caller); // refused for twice the time
-    now = now + options.refusal;
-    CHECK(action(first, caller_request(1)) == action_kind::refuse);
-    CHECK(action(first, caller_request(2)) == action_kind::trial);
-}
-
 // Guards against a culprit that goes on to crash upstreams, or an innocent request that is refused, when
 // reports are lost, late or repeated.
 TEST_CASE("suspect_table, reports lost and late, the culprit is contained and no innocent is refused") {
