Count crashes of overlapping copies that are clearly apart

Cause: a crash counted only if the request was sent after the crash before it. A request that crashes upstreams late in its run has overlapping copies, so three crashes in sequence took three times its run, and every copy in between was forwarded.

The new case of gateway_crash_test failed before: both nodes forwarded the next copy (504 where 503 is due).

Change: crashes at least 1 s apart also count if both upstreams closed the connection, which is when the time of the crash is known. Losses by silence and those of one moment keep the rule of sequence, since they are no sign of further crashes. Reports carry the new field.

--- a/bench/policy/suspects.cpp
+++ b/bench/policy/suspects.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <cstdio>
 #include <deque>
+#include <optional>
 
 namespace berylcrank::bench {
 
@@ -16,6 +17,8 @@
     std::uint64_t refused_normal_requests{0};
     std::uint64_t poison_crashes{0};
     std::size_t max_crashes_per_minute{0}; ///< Maximum number of crashes by the poison request in any 60 s.
+    /** Copies of the poison request sent later than `containment_time` after its third crash. */
+    std::uint64_t late_poison_sends{0};
 };
 
 struct suspect_setting {
@@ -24,13 +27,15 @@
     millis unrelated_crash_interval; ///< Time between crashes that no request causes; 0: no such crashes.
     bool has_domain_losses;          ///< Five upstreams crash at the same time, once per minute.
     double report_loss{0};           ///< Share of the messages between nodes that are lost.
+    std::size_t upstreams{15};
 };
 
 /** Simulates nodes with suspect tables in front of upstreams that crash. One request, the poison request,
     crashes every upstream that runs it. */
 class crash_simulation {
 public:
-    crash_simulation(const suspect_setting& setting, std::uint64_t seed) : setting_(setting), random_(seed) {
+    crash_simulation(const suspect_setting& setting, std::uint64_t seed)
+        : setting_(setting), random_(seed), upstreams_(setting.upstreams) {
         for (std::uint64_t n = 0; n < nodes; ++n) {
             tables_.push_back(std::make_unique<suspect_table>(suspect_table::options{},
                                                               [](const upstream_loss&) { return false; }));
@@ -56,10 +61,10 @@
 
 private:
     static constexpr std::size_t nodes = 15;
-    static constexpr std::size_t upstreams = 15;
     static constexpr int fingerprint_count = 20000;
     static constexpr double requests_per_ms = 5.4;
     static constexpr millis restart_time{2000};
+    static constexpr millis containment_time{3000};
     static constexpr millis one_way_delay = millis::from_micros(500);
 
     struct request {
@@ -89,12 +94,12 @@
     }
 
     void crash_random_upstream() {
-        crash(random_.below(upstreams));
+        crash(random_.below(upstreams_.size()));
         events_.run_after(setting_.unrelated_crash_interval, [this] { crash_random_upstream(); });
     }
 
     void lose_failure_domain() {
-        for (std::size_t n = 0; n < upstreams; n += 3) {
+        for (std::size_t n = 0; n < upstreams_.size(); n += 3) {
             crash(n);
         }
         events_.run_after(millis{60000}, [this] { lose_failure_domain(); });
@@ -119,14 +124,16 @@
     }
 
     void send(std::uint64_t fingerprint, std::size_t node) {
-        auto target = random_.below(upstreams);
-        for (std::size_t n = 0; n < upstreams && !upstreams_[target].is_up; ++n) {
-            target = (target + 1) % upstreams;
+        auto target = random_.below(upstreams_.size());
+        for (std::size_t n = 0; n < upstreams_.size() && !upstreams_[target].is_up; ++n) {
+            target = (target + 1) % upstreams_.size();
         }
         const auto number = ++last_number_;
         upstreams_[target].in_flight.push_back(
             {.number = number, .fingerprint = fingerprint, .node = node, .sent_at = events_.now()});
         const bool is_poison = fingerprint == poison_fingerprint;
+        result_.late_poison_sends +=
+            is_poison && third_crash_ && events_.now() - *third_crash_ > containment_time ? 1 : 0;
         const auto time =
             is_poison ? setting_.crash_time : millis::from_value(-std::log(1 - random_.unit()) * 10);
         events_.run_after(time, [=, this] {
@@ -147,6 +154,9 @@
 
     void record_crash() {
         crashes_.push_back(events_.now());
+        if (result_.poison_crashes == 3) {
+            third_crash_ = events_.now();
+        }
         while (events_.now() - crashes_.front() >= millis{60000}) {
             crashes_.pop_front();
         }
@@ -166,7 +176,8 @@
                                                 {.upstream = static_cast<std::uint32_t>(n),
                                                  .run = crashed.incarnation,
                                                  .sent_at = lost_request.sent_at,
-                                                 .lost_at = events_.now()},
+                                                 .lost_at = events_.now(),
+                                                 .closed = true},
                                                 events_.now());
         }
         events_.run_after(restart_time, [this, n] {
@@ -188,9 +199,10 @@
     event_queue events_;
     seeded_random random_;
     std::vector<std::unique_ptr<suspect_table>> tables_;
-    std::array<upstream, upstreams> upstreams_;
+    std::vector<upstream> upstreams_;
     std::vector<double> popularity_;
     std::deque<instant> crashes_;
+    std::optional<instant> third_crash_;
     std::uint64_t last_number_{0};
     suspect_result result_;
 };
@@ -204,11 +216,13 @@
         {"also a failure domain lost each minute", millis{20}, millis{10000}, true},
         {"also 10 % of the messages lost", millis{20}, millis{10000}, true, 0.1},
         {"crash only after 250 ms", millis{250}, millis{10000}, true},
+        {"crash only after 2,500 ms, 450 upstreams", millis{2500}, millis{10000}, true, 0, 450},
     };
     std::printf(
         "\n| setting | seed | normal requests | normal requests refused | per 10,000 | crashes by the "
         "poison request "
-        "| maximum in any minute |\n|---|---|---|---|---|---|---|\n");
+        "| maximum in any minute | copies sent over 3 s after the third crash "
+        "|\n|---|---|---|---|---|---|---|---|\n");
     for (const auto& setting : settings) {
         std::vector<suspect_result> results(opts.seeds);
         run_parallel(opts.seeds, opts.threads, [&](std::size_t n) {
@@ -216,13 +230,13 @@
         });
         for (std::size_t n = 0; n < opts.seeds; ++n) {
             const auto& result = results[n];
-            std::printf("| %s | %zu | %llu | %llu | %.3f | %llu | %zu |\n", setting.name, n + 1,
+            std::printf("| %s | %zu | %llu | %llu | %.3f | %llu | %zu | %llu |\n", setting.name, n + 1,
                         static_cast<unsigned long long>(result.normal_requests),
                         static_cast<unsigned long long>(result.refused_normal_requests),
                         1e4 * static_cast<double>(result.refused_normal_requests) /
                             static_cast<double>(result.normal_requests),
-                        static_cast<unsigned long long>(result.poison_crashes),
-                        result.max_crashes_per_minute);
+                        static_cast<unsigned long long>(result.poison_crashes), result.max_crashes_per_minute,
+                        static_cast<unsigned long long>(result.late_poison_sends));
         }
     }
 }
--- a/modules/berylcrank_gateway/client/client_connection.cpp
+++ b/modules/berylcrank_gateway/client/client_connection.cpp
@@ -144,6 +144,7 @@
     }
     if (ec) {
         error_ = ec.message();
+        closed_by_server_ = ec == boost::asio::error::eof || ec == boost::asio::error::connection_reset;
         on_end_of_input(ec == boost::asio::error::eof);
         return;
     }
--- a/modules/berylcrank_gateway/client/client_connection.h
+++ b/modules/berylcrank_gateway/client/client_connection.h
@@ -83,6 +83,8 @@
     [[nodiscard]] bool reused() const { return calls_ > 1; }
     /** Returns what the connection waits for, as text for logs. */
     [[nodiscard]] std::string_view activity() const;
+    /** Returns true if the server ended the connection, and not this process or a timeout. */
+    [[nodiscard]] bool closed_by_server() const { return closed_by_server_; }
     /** Text of the error that ended the connection, for logs; empty if there was none. */
     [[nodiscard]] const std::string& error() const { return error_; }
     /** When the connection was established; instant::never() before. */
@@ -130,6 +132,7 @@
     std::uint64_t calls_{0};
     bool connected_{false};
     bool closed_{false};
+    bool closed_by_server_{false};
     bool waiting_{false};
     bool discarding_{false};
     bool discarded_any_{false};
--- a/modules/berylcrank_gateway/flow/request_flow_suspect.cpp
+++ b/modules/berylcrank_gateway/flow/request_flow_suspect.cpp
@@ -50,8 +50,11 @@
 }
 
 void request_flow::report_loss(const attempt& it, instant now) {
-    const upstream_loss loss{
-        .upstream = it.target().number, .run = it.upstream_run(), .sent_at = it.started(), .lost_at = now};
+    const upstream_loss loss{.upstream = it.target().number,
+                             .run = it.upstream_run(),
+                             .sent_at = it.started(),
+                             .lost_at = now,
+                             .closed = it.ended() && it.connection()->closed_by_server()};
     const auto crashes = suspicion().on_lost(loss, now);
     if (crashes > 1) {
         node_.log.line("suspect")
--- a/modules/berylcrank_gateway/peers/suspect_codec.cpp
+++ b/modules/berylcrank_gateway/peers/suspect_codec.cpp
@@ -24,6 +24,7 @@
         losses[i].setRun(it.losses[i].run);
         losses[i].setSentAgeMs(age_ms(now, it.losses[i].sent_at));
         losses[i].setLostAgeMs(age_ms(now, it.losses[i].lost_at));
+        losses[i].setClosed(it.losses[i].closed);
     }
     if (it.cleared_at) {
         to.setCleared(true);
@@ -50,7 +51,8 @@
         result.losses.push_back({.upstream = loss.getUpstream(),
                                  .run = loss.getRun(),
                                  .sent_at = now - millis{loss.getSentAgeMs()},
-                                 .lost_at = now - millis{loss.getLostAgeMs()}});
+                                 .lost_at = now - millis{loss.getLostAgeMs()},
+                                 .closed = loss.getClosed()});
     }
     return result;
 }
--- a/modules/berylcrank_suspect/table/suspect_table.cpp
+++ b/modules/berylcrank_suspect/table/suspect_table.cpp
@@ -17,11 +17,11 @@
 
 std::uint32_t suspect_table::crashes_in_sequence(const suspect& it) {
     std::uint32_t crashes = 0;
-    instant last;
+    const upstream_loss* last = nullptr;
     for (const auto& loss : it.losses) {
-        if (crashes == 0 || loss.sent_at >= last) {
+        if (last == nullptr || loss.follows(*last)) {
             ++crashes;
-            last = loss.lost_at;
+            last = &loss;
         }
     }
     return crashes;
@@ -112,10 +112,10 @@
         return;
     }
     auto victim = it.losses.begin();
-    instant last;
-    for (auto at = it.losses.begin(); at != it.losses.end(); ++at) {
-        if (at == it.losses.begin() || at->sent_at >= last) {
-            last = at->lost_at;
+    auto last = it.losses.begin();
+    for (auto at = std::next(it.losses.begin()); at != it.losses.end(); ++at) {
+        if (at->follows(*last)) {
+            last = at;
         } else {
             victim = at;
         }
@@ -133,8 +133,8 @@
     const bool is_new = same == it.losses.end();
     if (is_new) {
         it.losses.push_back(loss);
-    } else if (loss.lost_at < same->lost_at) { // times of other nodes are late by the time of the message
-        *same = loss;
+    } else if (loss.closed != same->closed ? loss.closed : loss.lost_at < same->lost_at) {
+        *same = loss; // times of other nodes are late by the time of the message
     }
     std::ranges::sort(it.losses, {}, &upstream_loss::lost_at);
     trim_losses(it);
--- a/modules/berylcrank_suspect/table/suspect_table.h
+++ b/modules/berylcrank_suspect/table/suspect_table.h
@@ -19,11 +19,17 @@
     /** An upstream that has crashed takes longer than this to crash again. Times of other nodes are late by
         less, and the losses of one crash are noticed within less. */
     static constexpr millis restart_time{1500};
+    /** Closed connections that are at least this far apart were lost in different crashes. Longer than the
+       loss of a failure domain takes, and than times of other nodes are late. */
+    static constexpr millis separate_crash_time{1000};
 
     std::uint32_t upstream{0}; ///< Hash of the upstream's id.
     std::uint64_t run{0};      ///< Identifies the run of the upstream between two of its starts.
     instant sent_at;           ///< When the request was sent.
     instant lost_at;
+    /** The upstream closed the connection, so that `lost_at` is the time of its crash. A silent upstream may
+        have crashed at any time since the send. */
+    bool closed{false};
 
     /** Returns true if both are the same loss or were lost in the same crash. `run` alone does not tell: it
         comes from the registration, which may arrive after the upstream has started again. */
@@ -31,6 +37,14 @@
         const auto apart = lost_at > other.lost_at ? lost_at - other.lost_at : other.lost_at - lost_at;
         return upstream == other.upstream && run == other.run && apart < restart_time;
     }
+
+    /** Returns true if the request has crashed another upstream after that of `previous`: it was sent after
+        that crash, or its upstream crashed clearly later. Copies of a request that crashes upstreams late in
+        its run overlap. */
+    [[nodiscard]] bool follows(const upstream_loss& previous) const {
+        return sent_at >= previous.lost_at ||
+               (closed && previous.closed && lost_at >= previous.lost_at + separate_crash_time);
+    }
 };
 
 /** What a node knows about one suspect, for the other nodes. */
@@ -64,8 +78,8 @@
 
     Many innocent requests are in flight when an upstream crashes, and some of them repeatedly: popular ones,
     or all requests to a lost failure domain. Such a request is told apart by three properties:
-    - A crash counts only if the request was sent after the previous crash that counts. The loss of many
-      upstreams at once, and of many copies of a request, therefore counts once.
+    - A crash counts only if it follows the previous crash that counts (upstream_loss::follows). The loss of
+      many upstreams at once, and of many copies of a request, therefore counts once.
     - A successful response clears the suspect at all nodes.
     - A lost connection does not count if the upstream responds to anything afterwards in the same run.
 
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -84,6 +84,8 @@
   # Time since the request was sent, in milliseconds.
   lostAgeMs @3 :UInt32;
   # Time since its connection was lost.
+  closed @4 :Bool;
+  # The upstream closed the connection.
 }
 
 struct Suspect {
--- a/tests/gateway/message_test.cpp
+++ b/tests/gateway/message_test.cpp
@@ -119,7 +119,8 @@
                                         .losses = {{.upstream = ~0U,
                                                     .run = 1700000000001,
                                                     .sent_at = at(sent, 500),
-                                                    .lost_at = at(sent, 400)}}}}};
+                                                    .lost_at = at(sent, 400),
+                                                    .closed = true}}}}};
     const auto decoded = decode_message(encode(it, sent), received);
     REQUIRE(decoded);
     REQUIRE(decoded->suspects.size() == 1);
@@ -132,6 +133,7 @@
     CHECK(suspect.losses[0].run == it.suspects[0].losses[0].run);
     CHECK(suspect.losses[0].sent_at == at(received, 500));
     CHECK(suspect.losses[0].lost_at == at(received, 400));
+    CHECK(suspect.losses[0].closed);
 }
 
 // Guards against a datagram or state response that ends the process when it is cut or altered anywhere.
--- a/tests/process/gateway_crash_test.cpp
+++ b/tests/process/gateway_crash_test.cpp
@@ -170,6 +170,53 @@
     }
 }
 
+// Guards against counting copies that overlap as one crash: a request that crashes upstreams late in its run
+// would be sent to many more in the meantime.
+TEST_CASE_FIXTURE(gateway_crash_fixture,
+                  "gateway, copies of an order overlap and crash upstreams one by one, is refused") {
+    constexpr int crash_interval_ms = 1300;
+    const auto orders = subject.workers_of("orders");
+    for (std::size_t n = 0; n < orders.size(); ++n) {
+        subject.configure_worker(*orders[n], "crash-after=" +
+                                                 std::to_string(crash_interval_ms * static_cast<int>(n + 1)));
+    }
+    constexpr auto* route =
+        R"({"name":"slow","path-prefix":"/o/slow/","kind":"unsafe","timeout-s":30,"max-attempts":1,)"
+        R"("target-latency-s":20,"priority":1,"service":"orders"},)";
+    subject.put_operator_record("config", platform_deployment::config(2, route));
+    for (const auto& node : subject.nodes()) {
+        wait_until("the route is in force", [&] { return send_to(node, "POST", "/o/slow/a").status == 200; });
+    }
+    for (const auto* it : orders) {
+        subject.configure_worker(*it, "crash=/o/slow/poison");
+    }
+    std::vector<std::thread> callers;
+    for (std::size_t n = 0; n < orders.size(); ++n) {
+        const auto id = "slow-" + std::to_string(n);
+        callers.emplace_back([&, n, id] {
+            send({.address = subject.nodes()[n % 2].front,
+                  .method = "POST",
+                  .path = "/o/slow/poison",
+                  .headers = {{"Host", "shop.example"}, {"Request-Id", id}, {"Request-Timeout-Ms", "30000"}},
+                  .body = "x",
+                  .timeout_ms = 30000});
+        });
+        wait_until("an upstream runs it", [&] { return subject.execution_count(id) == 1; });
+    }
+    wait_until("it has crashed enough upstreams", [&] { return crashed("orders") >= crashes_allowed; });
+    wait_until("the nodes have told each other", [&] {
+        return std::ranges::all_of(subject.nodes(), [](const auto& it) {
+            return level(it, "suspect_losses") >= 2 * crashes_allowed; // two entries a request
+        });
+    });
+    for (const auto& node : subject.nodes()) {
+        CHECK(send_to(node, "POST", "/o/slow/poison").status == 503);
+    }
+    for (auto& it : callers) {
+        it.join();
+    }
+}
+
 // Guards against a node that forgets by a restart which requests crash upstreams.
 TEST_CASE_FIXTURE(gateway_crash_fixture,
                   "gateway, node has just started, refuses what crashed upstreams before") {
--- a/tests/suspect/suspect_test.cpp
+++ b/tests/suspect/suspect_test.cpp
@@ -73,6 +73,36 @@
     CHECK(action(other) == action_kind::trial); // the other node got no copy
 }
 
+// Guards against copies that are sent to ever more upstreams because they overlap, which crash late in a run.
+TEST_CASE_FIXTURE(suspect_fixture,
+                  "suspect_table, copies overlap and crash upstreams one by one, refuses the request") {
+    const auto sent = now;
+    for (int n = 0; n < 3; ++n) {
+        CHECK(action(first) == action_kind::run);
+        now = now + upstream_loss::separate_crash_time;
+        first.on_lost(request, {.upstream = next_upstream++, .sent_at = sent, .lost_at = now, .closed = true},
+                      now);
+    }
+    CHECK(action(first) == action_kind::refuse);
+}
+
+// Guards against refusing a harmless request whose copies are noticed one by one to be lost, though their
+// upstreams may have crashed at one moment: silent ones, and those of a failure domain.
+TEST_CASE_FIXTURE(suspect_fixture,
+                  "suspect_table, copies of one moment are noticed late, does not refuse the request") {
+    const auto sent = now;
+    for (int n = 0; n < 4; ++n) {
+        now = now + upstream_loss::separate_crash_time;
+        first.on_lost(request, {.upstream = next_upstream++, .sent_at = sent, .lost_at = now}, now);
+        first.on_lost(
+            bystander,
+            {.upstream = next_upstream++, .sent_at = sent, .lost_at = sent + millis{200 * n}, .closed = true},
+            now);
+    }
+    CHECK(action(first) == action_kind::run);
+    CHECK(action(first, bystander) == action_kind::run);
+}
+
 // Guards against a node that sends a suspect again by itself when one more crash would lead to its refusal.
 TEST_CASE_FIXTURE(suspect_fixture, "suspect_table, one crash is left until the refusal, allows no retry") {
     crash(first, request);
