Fetch the list of a node whose roster names unknown nodes

Cause: addresses spread only in lists fetched every 5 to 10 s, and a list contains only the nodes that its sender has heard. Nodes that start together need two or three intervals. Rosters name the others by number, but unknown numbers were ignored.

Ruled out: addresses of dead nodes (lists contain live nodes only).

Change: a roster with an unknown node makes the receiver fetch the list of its sender within 1 s.

--- a/modules/berylcrank_balance/peers/peer_table.cpp
+++ b/modules/berylcrank_balance/peers/peer_table.cpp
@@ -85,11 +85,16 @@
     return true;
 }
 
-void peer_table::merge_roster(const std::vector<roster_entry>& roster, instant now) {
+bool peer_table::merge_roster(const std::vector<roster_entry>& roster, instant now) {
+    bool has_unknown = false;
     for (const auto& it : roster) {
         const auto found = peers_.find(it.number);
-        if (found == peers_.end() || it.incarnation < found->second.info.incarnation) {
-            continue; // an unknown node sends hello messages to all nodes itself
+        if (found == peers_.end()) {
+            has_unknown = has_unknown || it.number != self_number_;
+            continue; // a roster does not contain addresses
+        }
+        if (it.incarnation < found->second.info.incarnation) {
+            continue;
         }
         auto& stored = found->second;
         if (it.incarnation > stored.info.incarnation || it.beat > stored.beat) {
@@ -97,6 +102,7 @@
             on_heartbeat(it, now);
         }
     }
+    return has_unknown;
 }
 
 std::vector<roster_entry> peer_table::roster(bool local, random_source& random, instant now) const {
--- a/modules/berylcrank_balance/peers/peer_table.h
+++ b/modules/berylcrank_balance/peers/peer_table.h
@@ -119,8 +119,8 @@
     bool on_heartbeat(const roster_entry& it, instant now);
 
     /** Merges a roster that another node forwarded. Only entries with a higher heartbeat counter or
-        incarnation have an effect. */
-    void merge_roster(const std::vector<roster_entry>& roster, instant now);
+        incarnation have an effect. Returns whether it contains a node that is not known. */
+    bool merge_roster(const std::vector<roster_entry>& roster, instant now);
 
     /** Returns the state of live nodes except this one, for a message to a node of this failure domain
         (`local`) or of another. It contains the first `roster_readers` nodes in the order of reader_rank and
--- a/modules/berylcrank_gateway/node/gateway_node.h
+++ b/modules/berylcrank_gateway/node/gateway_node.h
@@ -61,6 +61,7 @@
     void list_nodes();
     void finish_store_call(store_outcome outcome);
     void pull_nodes(instant now);
+    void on_unknown_node(const peer& sender, instant now);
     void learn_nodes(const std::vector<node_info>& nodes);
     void exchange_messages(instant now);
     void contact_seeds();
@@ -116,6 +117,7 @@
     instant behind_since_;
     std::uint64_t last_sent_read_{0}; // number of the last own read that was sent to the other nodes
     std::uint64_t behind_peer_{0};    // node with newer state; 0 if there is none
+    std::uint64_t list_source_{0};    // node that knows nodes which this one does not; 0 if there is none
     std::uint32_t heartbeat_{0};
     instant next_store_call_;
     instant last_tick_;
--- a/modules/berylcrank_gateway/node/gateway_node_discovery.cpp
+++ b/modules/berylcrank_gateway/node/gateway_node_discovery.cpp
@@ -2,6 +2,7 @@
 #include "modules/berylcrank_gateway/node/gateway_node.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace berylcrank {
 
@@ -17,6 +18,10 @@
 constexpr millis first_list_delay{150};
 constexpr millis first_list_spread{300};
 constexpr millis list_interval{5000}; // between later requests, which find nodes that missed a hello
+// Maximum delay of a request to a node whose roster contains nodes that are not known here. When all nodes
+// start together, lists are incomplete at first, and list_interval would pass two or three times until each
+// node knows all others.
+constexpr millis unknown_node_delay{1000};
 
 } // namespace
 
@@ -53,6 +58,13 @@
     }
 }
 
+void gateway_node::on_unknown_node(const peer& sender, instant now) {
+    if (list_source_ == 0) {
+        list_source_ = sender.number;
+        next_node_pull_ = std::min(next_node_pull_, now + unknown_node_delay * node_.random.unit());
+    }
+}
+
 void gateway_node::on_peer_heard(instant now) {
     if (heard_peer_) {
         return;
@@ -98,7 +110,8 @@
     if (live.empty()) {
         return;
     }
-    const auto& from = live[node_.random.below(live.size())]->info;
+    const auto* source = node_.peers.find(std::exchange(list_source_, 0));
+    const auto& from = (source == nullptr ? live[node_.random.below(live.size())] : source)->info;
     const call_request request{.address = from.ip + ':' + std::to_string(from.gossip_port),
                                .target = std::string(nodes_target)};
     peer_client_.call(request, node_list_timeout, [this](const call_result& result) {
--- a/modules/berylcrank_gateway/node/gateway_node_messages.cpp
+++ b/modules/berylcrank_gateway/node/gateway_node_messages.cpp
@@ -231,11 +231,14 @@
         return; // unknown node or incarnation: its next hello brings its address
     }
     on_peer_heard(now);
-    node_.peers.merge_roster(it.roster, now);
+    const bool has_unknown = node_.peers.merge_roster(it.roster, now);
     const auto* sender = node_.peers.find(it.node);
     if (sender == nullptr) {
         return;
     }
+    if (has_unknown) {
+        on_unknown_node(*sender, now);
+    }
     if (it.requests_hello) {
         send_hello_to(sender->info, false);
     }
--- a/tests/balance/peers_test.cpp
+++ b/tests/balance/peers_test.cpp
@@ -232,6 +232,15 @@
     CHECK(subject.find(number)->last_heartbeat == at(3000));
 }
 
+// Guards against a node that misses others for many seconds because nothing makes it ask for their addresses.
+TEST_CASE_FIXTURE(deployment_fixture, "peer_table, roster contains a node that is not known, reports it") {
+    start(60, {"a", "b", "c"});
+    auto& subject = *tables[0];
+    const auto known = node_number(nodes[1]);
+    CHECK(subject.merge_roster({{.number = known}, {.number = known ^ 1U}}, at(3000)));
+    CHECK_FALSE(subject.merge_roster({{.number = known}, {.number = subject.self_number()}}, at(3000)));
+}
+
 // The message rate per node must not grow with the deployment.
 TEST_CASE_FIXTURE(deployment_fixture,
                   "peer_table, 150 nodes, cells stay small and lie in one failure domain") {
