Count silent upstreams whose callers leave at their time limit

What callers saw: a request that makes upstreams silent was forwarded without end.

Cause: such a loss was counted only at the node's deadline. The caller's time limit ends a little earlier, since it began before the request arrived, and the end of its connection withdrew the attempt. The deadline of an unsafe request that its caller had left was not counted either.

If the upstream responds later, the loss is dropped as before.

--- a/modules/berylcrank_gateway/flow/request_flow.h
+++ b/modules/berylcrank_gateway/flow/request_flow.h
@@ -70,7 +70,9 @@
     void cancel_others(const attempt& chosen);
     [[nodiscard]] hedge_inputs make_hedge_inputs(const attempt& open, instant now) const;
     void hedge_if_due(instant now);
-    void end_at_deadline(const std::vector<std::shared_ptr<attempt>>& attempts, instant now);
+    void end_at_deadline(instant now);
+    /** Reports the upstreams that have not begun to respond when the time for it has passed. */
+    void report_unresponsive(instant now);
     void retry_or(const std::function<void()>& fallback, std::string_view reason);
     void log_attempt_end(const attempt& it);
     [[nodiscard]] request_suspicion& suspicion();
--- a/modules/berylcrank_gateway/flow/request_flow_end.cpp
+++ b/modules/berylcrank_gateway/flow/request_flow_end.cpp
@@ -8,6 +8,13 @@
 
 namespace berylcrank {
 
+namespace {
+
+// A caller's time limit ends before the node's deadline by the time that the request took to arrive.
+constexpr millis caller_margin{100};
+
+} // namespace
+
 void request_flow::refuse(std::string_view reason, std::optional<millis> after) {
     const auto now = node_.time.now();
     if (!after) {
@@ -94,32 +101,37 @@
         hedge_if_due(now);
         return;
     }
-    end_at_deadline(attempts, now);
+    end_at_deadline(now);
 }
 
-void request_flow::end_at_deadline(const std::vector<std::shared_ptr<attempt>>& attempts, instant now) {
-    for (const auto& it : attempts) {
+void request_flow::end_at_deadline(instant now) {
+    for (const auto& it : attempts_) {
         if (!it->ended() && it->has_head && !it->not_run) {
+            const auto keep = it;
             streamed_attempt_ = it.get(); // a response that has begun is forwarded even if it is late
-            cancel_others(*it);
-            begin_response(it->head, it->head.length);
-            on_progress(*it);
+            cancel_others(*keep);
+            begin_response(keep->head, keep->head.length);
+            on_progress(*keep);
             return;
         }
     }
     if (sent_count_ == 0) {
         refuse("out-of-time");
     } else {
-        for (const auto& it : attempts) {
-            if (!it->ended()) {
-                node_.loads.outcome(it->target().number, {.bad = 1}, now, true);
-                report_loss(*it, now); // it may have crashed without closing its connections
-            }
-        }
+        report_unresponsive(now);
         fail(504, "out-of-time");
     }
 }
 
+void request_flow::report_unresponsive(instant now) {
+    for (const auto& it : attempts_) {
+        if (!it->ended() && !it->has_head) {
+            node_.loads.outcome(it->target().number, {.bad = 1}, now, true);
+            report_loss(*it, now); // it may have crashed without closing its connections
+        }
+    }
+}
+
 void request_flow::log_unfinished() const {
     for (const auto& it : attempts_) {
         if (!it->ended()) {
@@ -134,6 +146,10 @@
     }
     const auto self = shared_from_this();
     node_.log.line("caller-left").field("request", id_).field("tries", sent_count_).send();
+    const auto now = node_.time.now();
+    if (deadline_ - now < caller_margin) {
+        report_unresponsive(now);
+    }
     const bool running =
         std::any_of(attempts_.begin(), attempts_.end(), [](const auto& it) { return !it->ended(); });
     if (running && !is_idempotent(route_->kind)) {
--- a/standins/platform_worker/worker.cpp
+++ b/standins/platform_worker/worker.cpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
+#include <csignal>
 #include <cstdlib>
 #include <utility>
 
@@ -177,11 +178,13 @@
 }
 
 void worker::run(const job& it) {
+    if (!behaviour_.crash_target.empty() && it.head.target == behaviour_.crash_target) {
+        std::_Exit(EXIT_FAILURE);
+    }
     ++running_;
     ++runs_[header(it.head, "Request-Id")];
-    if (!behaviour_.crash_target.empty() && it.head.target == behaviour_.crash_target) {
-        crash_later();
-        return;
+    if (!behaviour_.hang_target.empty() && it.head.target == behaviour_.hang_target) {
+        std::raise(SIGSTOP);
     }
     auto timer = std::make_shared<boost::asio::steady_timer>(
         io_, std::chrono::milliseconds(behaviour_.work_ms * behaviour_.slowness / 100));
@@ -192,15 +195,6 @@
     });
 }
 
-void worker::crash_later() {
-    if (behaviour_.crash_after_ms == 0) {
-        std::_Exit(EXIT_FAILURE);
-    }
-    auto timer = std::make_shared<boost::asio::steady_timer>(
-        io_, std::chrono::milliseconds(behaviour_.crash_after_ms));
-    timer->async_wait([timer](const auto&) { std::_Exit(EXIT_FAILURE); });
-}
-
 void worker::finish(const job& it) {
     const std::string body(behaviour_.body_bytes, 'b');
     const std::string signature = "Server-Signature: " + behaviour_.id + "\r\n";
@@ -320,10 +314,8 @@
             behaviour_.retry_after = pair.second;
         } else if (pair.first == "crash") {
             behaviour_.crash_target = pair.second;
-        } else if (pair.first == "crash-after") {
-            if (absl::SimpleAtoi(pair.second, &n)) {
-                behaviour_.crash_after_ms = n;
-            }
+        } else if (pair.first == "hang") {
+            behaviour_.hang_target = pair.second;
         } else if (pair.first == "leaving") {
             behaviour_.leaving = pair.second == "1";
         } else if (int bytes = 0;
--- a/standins/platform_worker/worker.h
+++ b/standins/platform_worker/worker.h
@@ -25,8 +25,8 @@
     int slowness{100};        ///< Service time in percent of `work_ms`; the fourth field of `Server-Load`.
     int warm_up_ms{0};        ///< Value of `Warmup-Ms` in health check responses; 0 leaves the header out.
     bool leaving{false};      ///< Announces its stop in all responses.
-    std::string crash_target; ///< Target of requests that end the process.
-    int crash_after_ms{0};    ///< Time from the start of such a request to the end of the process.
+    std::string crash_target; ///< Target of requests that end the process when they begin to run.
+    std::string hang_target;  ///< Target of requests that stop the process, which keeps its connections.
     std::string
         retry_after; ///< Whole seconds of `Retry-After` in responses to shed requests; empty leaves it out.
     /** good, shed, shed-again, shed-again-unnamed, error, reset, truncate, unframed, unframed-reset, extra,
@@ -38,7 +38,7 @@
 /** A worker of the platform. It runs requests in slots, sheds them when its queue is full and injects faults.
 
     - `POST
-   /control?mode=M&work=MS&slowness=N&warm-up=MS&bytes=N&leaving=1&retry-after=S&crash=TARGET&crash-after=MS`:
+   /control?mode=M&work=MS&slowness=N&warm-up=MS&bytes=N&leaving=1&retry-after=S&crash=TARGET&hang=TARGET`:
    changes its behaviour.
     - `GET /received-in-pause`: number of requests received, health checks included, between half a second
    after the first response with `Retry-After` and the end of the time that it stated.
@@ -64,7 +64,6 @@
     void handle_request(const connection_ptr& it, request_head head);
     void start_next();
     void run(const job& it);
-    void crash_later();
     void finish(const job& it);
     void send(const connection_ptr& it, const std::string& bytes, bool close = false);
     void send_endlessly(const connection_ptr& it, const std::string& start, const std::string& repeated);
--- a/tests/process/gateway_crash_test.cpp
+++ b/tests/process/gateway_crash_test.cpp
@@ -230,6 +230,40 @@
     }
 }
 
+// Guards against a request that silences upstreams without end because its caller leaves at its own time
+// limit, which ends a little before the node's.
+TEST_CASE_FIXTURE(gateway_crash_fixture,
+                  "gateway, request silences upstreams and its caller leaves at its limit, is refused") {
+    constexpr long limit_ms = 700;
+    constexpr double min_refusal_s = 10; // of a suspect; a lack of upstreams is shorter
+    for (const auto* it : subject.workers_of("orders")) {
+        subject.configure_worker(*it, "hang=/o/silent");
+    }
+    for (const auto* it : subject.workers_of("lookups")) {
+        subject.configure_worker(*it, "hang=/l/silent");
+    }
+    for (const auto& [method, path] : {std::pair("POST", "/o/silent"), std::pair("GET", "/l/silent")}) {
+        const auto send_copy = [&] {
+            return send({.address = subject.nodes().front().front,
+                         .method = method,
+                         .path = path,
+                         .headers = {{"Host", "shop.example"},
+                                     {"Request-Id", "s-" + std::to_string(++ids)},
+                                     {"Request-Timeout-Ms", std::to_string(limit_ms)}},
+                         .body = "x",
+                         .timeout_ms = limit_ms - 20});
+        };
+        for (int n = 0; n < crashes_allowed; ++n) {
+            CHECK(send_copy().status == 0);
+        }
+        wait_until("the refusal lasts, since no silent upstream has responded", [&] {
+            const auto response = send_copy();
+            CHECK(response.status == 503);
+            return response.status != 503 || std::stod(response.header("Retry-After")) > min_refusal_s;
+        });
+    }
+}
+
 // Guards against a node that forgets by a restart which requests crash upstreams.
 TEST_CASE_FIXTURE(gateway_crash_fixture,
                   "gateway, node has just started, refuses what crashed upstreams before") {
