Refuse requests that crash upstreams on the own interface

What callers saw: at a node of the own interface, a lookup or order that crashes the upstreams that run it was forwarded to all of them; copies of its caller, under new ids and at other nodes, started afresh.

Cause: these nodes did not use suspect_table. Only the attempts of one request were limited.

Change: suspect_router wraps the router of all attempts. Gossip carries the reports; the schema and the codec of suspects move to berylcrank_suspect, so that both interfaces use one copy. What a message brings is passed on, since it reaches one peer. A response with the incarnation from before a loss shows that the upstream has survived it.

--- a/modules/berylcrank_gateway/peers/node_message.cpp
+++ b/modules/berylcrank_gateway/peers/node_message.cpp
@@ -1,6 +1,6 @@
 #include "modules/berylcrank_gateway/peers/node_message.h"
 
-#include "modules/berylcrank_gateway/peers/suspect_codec.h"
+#include "modules/berylcrank_suspect/message/suspect_codec.h"
 
 #include <algorithm>
 #include <array>
--- a/modules/berylcrank_membership/message/gossip_message.h
+++ b/modules/berylcrank_membership/message/gossip_message.h
@@ -2,6 +2,7 @@
 
 #include "modules/berylcrank_core/identity/incarnation.h"
 #include "modules/berylcrank_core/time/millis.h"
+#include "modules/berylcrank_suspect/table/suspect_table.h"
 
 #include <cstdint>
 #include <optional>
@@ -59,6 +60,7 @@
     std::vector<peer_info> peers;
     std::vector<warm_report> warm;
     std::vector<crash_report> crashes;
+    std::vector<suspect_report> suspects; ///< Instants are relative to the message; its time is instant{}.
 
     bool operator==(const gossip_message&) const = default;
 };
--- a/modules/berylcrank_node/control/node.cpp
+++ b/modules/berylcrank_node/control/node.cpp
@@ -57,6 +57,17 @@
             .seed = self.value};
 }
 
+suspect_table::options suspect_options(incarnation self) {
+    // Delays of trials are spread over the nodes, so that one of them starts a trial.
+    constexpr millis trial_spread{20000};
+    constexpr std::uint64_t steps = 1024;
+    // A change goes to single peers, drawn at random, which pass it on.
+    constexpr int copies = 6;
+    return {.trial_delay =
+                trial_spread * (static_cast<double>(self.value % steps) / static_cast<double>(steps)),
+            .report_copies = copies};
+}
+
 config_follower::options follower_options(schema::Settings::Reader it, incarnation self) {
     return {.poll = ms(it.getPlatform().getPollMs()),
             .retention = ms(it.getPlatform().getLogRetentionMs()),
@@ -99,7 +110,11 @@
       applier_({.time = clock_, .self = self_, .services = services_, .gate = gate_, .issuer = issuer_}),
       config_(follower_options(it, self_), log_, puller_, clock_,
               [this](const config_view_ptr& view) { applier_.apply(view); }),
-      gossip_messages_({.time = clock_, .peers = peers_, .config = config_, .gate = gate_}, self_.value),
+      suspects_(suspect_options(self_),
+                [this](const upstream_loss& lost) { return runs_.has_survived(lost); }),
+      gossip_messages_(
+          {.time = clock_, .peers = peers_, .config = config_, .gate = gate_, .suspects = suspects_},
+          self_.value),
       permits_({.time = clock_,
                 .self = self_,
                 .config = config_,
@@ -109,12 +124,14 @@
                {}),
       client_(make_upstream_client({.loops = servers_.loops})),
       router_({.time = clock_, .gate = gate_, .permits = permits_, .lease = lease_}, services_),
+      guarded_router_({.time = clock_, .suspects = suspects_, .runs = runs_, .next = router_}),
       table_(table_options(it)), home_resolver_(peers_),
-      orders_({.limits = {.recordable_bytes = it.getOrders().getAnswerBytes()}},
-              {.time = clock_, .minter = minter_, .table = table_, .router = router_, .client = *client_},
-              *endpoint_, home_resolver_),
-      idempotent_({.stall = ms(it.getRequests().getStallMs()), .id_prefix = to_hex(self_)}, router_, *client_,
-                  clock_),
+      orders_(
+          {.limits = {.recordable_bytes = it.getOrders().getAnswerBytes()}},
+          {.time = clock_, .minter = minter_, .table = table_, .router = guarded_router_, .client = *client_},
+          *endpoint_, home_resolver_),
+      idempotent_({.stall = ms(it.getRequests().getStallMs()), .id_prefix = to_hex(self_)}, guarded_router_,
+                  *client_, clock_),
       control_({.time = clock_,
                 .self = self_,
                 .peers = peers_,
@@ -138,7 +155,8 @@
                   .table = table_,
                   .config = config_,
                   .issuer = issuer_,
-                  .peers = peers_}),
+                  .peers = peers_,
+                  .suspects = suspects_}),
       pages_({.vm = it.getVm().cStr(),
               .failure_domain = it.getFailureDomain().cStr(),
               .http_address = server_->address(),
--- a/modules/berylcrank_node/control/node.h
+++ b/modules/berylcrank_node/control/node.h
@@ -13,6 +13,7 @@
 #include "modules/berylcrank_node/metrics/node_collector.h"
 #include "modules/berylcrank_node/request/node_router.h"
 #include "modules/berylcrank_node/request/request_dispatcher.h"
+#include "modules/berylcrank_node/request/suspect_router.h"
 #include "modules/berylcrank_platform/log/http_log_service.h"
 #include "modules/berylcrank_platform/vm_list/http_vm_list.h"
 
@@ -80,10 +81,13 @@
     service_table services_;
     config_applier applier_;
     config_follower config_;
+    upstream_runs runs_;
+    suspect_table suspects_; ///< Requests that may crash upstreams.
     gossip_processor gossip_messages_;
     holder_permits permits_;
     std::unique_ptr<upstream_client> client_;
     node_router router_;
+    suspect_router guarded_router_;
     order_table table_;
     peer_home_resolver home_resolver_;
     order_flow orders_;
--- a/modules/berylcrank_node/metrics/node_collector.cpp
+++ b/modules/berylcrank_node/metrics/node_collector.cpp
@@ -59,6 +59,13 @@
          value_of("refused_unconfirmed", it.refused_unconfirmed), value_of("expired", it.expired)});
 }
 
+MetricFamily suspect_family(const suspect_table& it) {
+    return make_family("suspect_requests_total", "Requests that were refused because they crash upstreams",
+                       MetricType::Counter, "result",
+                       {value_of("refused", it.refusals()), value_of("refused_falsely", it.false_refusals()),
+                        value_of("untracked", it.untracked())});
+}
+
 MetricFamily peer_family(const std::vector<peer_member>& members) {
     std::array<std::uint64_t, 4> n{};
     for (const auto& it : members) {
@@ -81,6 +88,11 @@
                         {value_of("", config.applied)}),
             record_family(config.counters),
             permit_family(deps_.issuer.count()),
+            make_family("suspects", "Requests that may crash upstreams", MetricType::Gauge, "",
+                        {value_of("", deps_.suspects.size())}),
+            make_family("suspect_losses", "Lost connections that count against suspects", MetricType::Gauge,
+                        "", {value_of("", deps_.suspects.losses())}),
+            suspect_family(deps_.suspects),
             peer_family(deps_.peers.members(deps_.time.now()))};
 }
 
--- a/modules/berylcrank_node/metrics/node_collector.h
+++ b/modules/berylcrank_node/metrics/node_collector.h
@@ -6,6 +6,7 @@
 #include "modules/berylcrank_once/table/order_table.h"
 #include "modules/berylcrank_routing/cold/permit_issuer.h"
 #include "modules/berylcrank_rpc/peer/peer_client.h"
+#include "modules/berylcrank_suspect/table/suspect_table.h"
 
 #include <prometheus/client_metric.h>
 #include <prometheus/collectable.h>
@@ -30,6 +31,7 @@
         const config_follower& config;
         const permit_issuer& issuer;
         const peer_view& peers;
+        const suspect_table& suspects;
     };
 
     explicit node_collector(const dependencies& it) : deps_(it) {}
--- a/modules/berylcrank_rpc/peer/peer_codec.cpp
+++ b/modules/berylcrank_rpc/peer/peer_codec.cpp
@@ -1,5 +1,7 @@
 #include "modules/berylcrank_rpc/peer/peer_codec.h"
 
+#include "modules/berylcrank_suspect/message/suspect_codec.h"
+
 #include <algorithm>
 
 namespace berylcrank {
@@ -149,9 +151,17 @@
     encode_all(message.peers, out.initPeers(count(message.peers.size())));
     encode_all(message.warm, out.initWarm(count(message.warm.size())));
     encode_all(message.crashes, out.initCrashes(count(message.crashes.size())));
+    auto suspects = out.initSuspects(count(message.suspects.size()));
+    for (unsigned n = 0; n < suspects.size(); ++n) {
+        encode(message.suspects[n], instant{}, suspects[n]);
+    }
 }
 
 gossip_message decode(schema::Gossip::Reader reader) {
+    std::vector<suspect_report> suspects;
+    for (const auto it : reader.getSuspects()) {
+        suspects.push_back(decode(it, instant{}));
+    }
     return {.sender = decode(reader.getSender()),
             .applied_offset = reader.getAppliedOffset(),
             .state_digest = reader.getStateDigest(),
@@ -159,7 +169,8 @@
             .log_reachable = reader.getLogReachable(),
             .peers = decode_all(reader.getPeers()),
             .warm = decode_all(reader.getWarm()),
-            .crashes = decode_all(reader.getCrashes())};
+            .crashes = decode_all(reader.getCrashes()),
+            .suspects = std::move(suspects)};
 }
 
 void encode(const order_request& order, schema::OrderRequest::Builder out) {
--- a/modules/berylcrank_gateway/peers/suspect_codec.cpp
+++ b/modules/berylcrank_suspect/message/suspect_codec.cpp
@@ -1,4 +1,4 @@
-#include "modules/berylcrank_gateway/peers/suspect_codec.h"
+#include "modules/berylcrank_suspect/message/suspect_codec.h"
 
 #include <algorithm>
 #include <limits>
--- a/modules/berylcrank_gateway/peers/suspect_codec.h
+++ b/modules/berylcrank_suspect/message/suspect_codec.h
@@ -2,7 +2,7 @@
 
 #include "modules/berylcrank_suspect/table/suspect_table.h"
 
-#include <fleet.capnp.h>
+#include <suspect.capnp.h>
 
 namespace berylcrank {
 
--- a/modules/berylcrank_suspect/table/suspect_table.cpp
+++ b/modules/berylcrank_suspect/table/suspect_table.cpp
@@ -15,6 +15,20 @@
 
 } // namespace
 
+suspect_report suspect_report::shifted(millis offset) const {
+    auto result = *this;
+    const auto shift = [offset](std::optional<instant>& it) {
+        it = it ? std::optional(*it + offset) : std::nullopt;
+    };
+    shift(result.cleared_at);
+    shift(result.trial_started);
+    for (auto& it : result.losses) {
+        it.sent_at = it.sent_at + offset;
+        it.lost_at = it.lost_at + offset;
+    }
+    return result;
+}
+
 std::uint32_t suspect_table::crashes_in_sequence(const suspect& it) {
     std::uint32_t crashes = 0;
     const upstream_loss* last = nullptr;
--- a/modules/berylcrank_suspect/table/suspect_table.h
+++ b/modules/berylcrank_suspect/table/suspect_table.h
@@ -45,6 +45,8 @@
         return sent_at >= previous.lost_at ||
                (closed && previous.closed && lost_at >= previous.lost_at + separate_crash_time);
     }
+
+    bool operator==(const upstream_loss&) const = default;
 };
 
 /** What a node knows about one suspect, for the other nodes. */
@@ -53,6 +55,11 @@
     std::optional<instant> cleared_at;    ///< Time of the last successful response, if any.
     std::optional<instant> trial_started; ///< A trial of it is running at the sender.
     std::vector<upstream_loss> losses;
+
+    /** Returns the report with all instants moved by `offset`, e.g. to make them relative to a message. */
+    [[nodiscard]] suspect_report shifted(millis offset) const;
+
+    bool operator==(const suspect_report&) const = default;
 };
 
 /** How to handle a request. @see suspect_table::check */
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -2,6 +2,7 @@
 # Messages between the nodes of a platform deployment.
 
 using Cxx = import "/capnp/c++.capnp";
+using Suspects = import "suspect.capnp";
 $Cxx.namespace("berylcrank::schema");
 
 struct NodeInfo {
@@ -75,31 +76,6 @@
   # Sequence number of that read; increases with each read of that node.
 }
 
-struct UpstreamLoss {
-  upstream @0 :UInt32;
-  # Hash of the upstream's id.
-  run @1 :UInt64;
-  # Start time of the upstream, in Unix milliseconds.
-  sentAgeMs @2 :UInt32;
-  # Time since the request was sent, in milliseconds.
-  lostAgeMs @3 :UInt32;
-  # Time since its connection was lost.
-  closed @4 :Bool;
-  # The upstream closed the connection.
-}
-
-struct Suspect {
-  fingerprint @0 :UInt64;
-  # Hash of the request's method, host, target and body, or of these and its caller.
-  losses @1 :List(UpstreamLoss);
-  cleared @2 :Bool;
-  clearedAgeMs @3 :UInt32;
-  # Time since the last successful response; valid if `cleared`.
-  inTrial @4 :Bool;
-  # The sender has sent it to learn whether it still crashes upstreams.
-  trialAgeMs @5 :UInt32;
-}
-
 struct NodeMessage {
   node @0 :UInt64;
   incarnation @1 :UInt64;
@@ -121,7 +97,7 @@
   # Requests in the sender's queue.
   leaving @13 :List(UInt32);
   # Upstreams that announced their stop to the sender.
-  suspects @14 :List(Suspect);
+  suspects @14 :List(Suspects.Suspect);
   # Requests that may crash upstreams.
 }
 
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -2,6 +2,7 @@
 # RPC interface between nodes.
 
 using Cxx = import "/capnp/c++.capnp";
+using Suspects = import "suspect.capnp";
 $Cxx.namespace("berylcrank::schema");
 
 struct PeerInfo {
@@ -45,6 +46,8 @@
   peers @5 :List(PeerInfo);
   warm @6 :List(WarmNews);
   crashes @7 :List(CrashNews);
+  suspects @8 :List(Suspects.Suspect);
+  # Requests that may crash upstreams.
 }
 
 struct Header {
--- a/tests/rpc/peer_endpoint_test.cpp
+++ b/tests/rpc/peer_endpoint_test.cpp
@@ -26,7 +26,15 @@
                      .upstream = "u",
                      .upstream_incarnation = "9f",
                      .in_flight = 2,
-                     .reporter = {8}}}};
+                     .reporter = {8}}},
+        .suspects = {{.fingerprint = 9,
+                      .cleared_at = instant{} - millis{500},
+                      .trial_started = instant{} - millis{20},
+                      .losses = {{.upstream = 3,
+                                  .run = 4,
+                                  .sent_at = instant{} - millis{50},
+                                  .lost_at = instant{} - millis{40},
+                                  .closed = true}}}}};
 }
 
 } // namespace
