Stand-in of the store: restore from a backup, epoch and 410 beyond the end

The stand-in never lost what it had acknowledged, so that no test covered a store that comes back from a backup.

Change: /control?backup=take and backup=restore; the header Store-Era in all responses, which starts at 1 and increases by one with each restore; 410 for a read beyond the end. Pending long polls are answered at a restore. platform_deployment gets calls for these.

--- a/standins/platform_store/store_handler.cpp
+++ b/standins/platform_store/store_handler.cpp
@@ -40,12 +40,12 @@
     return bytes;
 }
 
-void respond(const exchange_ptr& it, int status, std::string_view body = {}) {
-    it->respond(status, reason_phrase(status), {}, body);
-}
-
 } // namespace
 
+void store_handler::respond(const exchange_ptr& it, int status, std::string_view body) const {
+    it->respond(status, reason_phrase(status), {{"Store-Era", std::to_string(epoch_)}}, body);
+}
+
 void store_handler::handle(const exchange_ptr& it) {
     const auto path = path_without_query(*it);
     if (path == "/control") {
@@ -89,9 +89,26 @@
     if (const auto topic = query_parameter(*it, "trim"); !topic.empty()) {
         topics_[topic].trim(topics_[topic].end());
     }
+    if (const auto backup = query_parameter(*it, "backup"); backup == "take") {
+        backup_ = topics_;
+    } else if (backup == "restore") {
+        restore();
+    }
     respond(it, 200);
 }
 
+void store_handler::restore() {
+    topics_ = backup_;
+    ++epoch_;
+    std::vector<std::string> names;
+    for (const auto& [name, it] : long_polls_) {
+        names.push_back(name);
+    }
+    for (const auto& name : names) {
+        complete_long_polls(name);
+    }
+}
+
 void store_handler::append(const exchange_ptr& it) {
     auto& topic = topics_[query_parameter(*it, "topic")];
     std::uint64_t at = 0;
--- a/standins/platform_store/store_handler.h
+++ b/standins/platform_store/store_handler.h
@@ -14,8 +14,12 @@
     - `POST /control?outage=none|refuse|silent|lost`: sets a fault. `refuse` responds with 503, `silent` does
       not respond, `lost` appends the records and closes the connection without a response.
     - `POST /control?trim=TOPIC`: removes the history of a topic.
+    - `POST /control?backup=take`: stores a copy of all topics.
+    - `POST /control?backup=restore`: replaces all topics by that copy and increases the epoch.
     - `POST /put?topic=T&key=K`: writes a keyed record; an empty body removes the key.
     - `GET /calls`: the number of calls to the store so far.
+
+    All responses of the store carry the epoch in `Store-Era`. The first one is 1.
 */
 class store_handler final : public request_handler {
 public:
@@ -24,7 +28,9 @@
     void handle(const exchange_ptr& it) override;
 
 private:
+    void respond(const exchange_ptr& it, int status, std::string_view body = {}) const;
     void control(const exchange_ptr& it);
+    void restore();
     void append(const exchange_ptr& it);
     void read(const exchange_ptr& it, bool may_wait);
     void newest(const exchange_ptr& it);
@@ -33,6 +39,8 @@
 
     boost::asio::io_context& io_;
     std::map<std::string, topic_log> topics_;
+    std::map<std::string, topic_log> backup_;
+    std::uint64_t epoch_{1};
     std::multimap<std::string, exchange_ptr> long_polls_; ///< By topic.
     std::vector<exchange_ptr> held_exchanges_;            ///< Received during a "silent" outage.
     std::string outage_{"none"};
--- a/standins/platform_store/topic_log.cpp
+++ b/standins/platform_store/topic_log.cpp
@@ -39,7 +39,7 @@
 }
 
 std::optional<std::string> topic_log::read(std::uint64_t from) const {
-    if (from < first_) {
+    if (from < first_ || from > end()) {
         return std::nullopt;
     }
     std::string result;
--- a/standins/platform_store/topic_log.h
+++ b/standins/platform_store/topic_log.h
@@ -24,7 +24,8 @@
     /** Offset of the oldest record that is still stored. */
     [[nodiscard]] std::uint64_t first() const { return first_; }
 
-    /** Returns the length-prefixed records from an offset on, or nothing if the offset was trimmed. */
+    /** Returns the length-prefixed records from an offset on, or nothing if the offset was trimmed or
+        is beyond the end. */
     [[nodiscard]] std::optional<std::string> read(std::uint64_t from) const;
 
     /** The newest value of a key and the offset of its record. */
--- a/tests/support/platform_deployment.cpp
+++ b/tests/support/platform_deployment.cpp
@@ -109,6 +109,18 @@
     REQUIRE(post(store_address_, "/control?outage=" + outage).status == 200);
 }
 
+void platform_deployment::back_up_store() {
+    REQUIRE(post(store_address_, "/control?backup=take").status == 200);
+}
+
+void platform_deployment::restore_store() {
+    REQUIRE(post(store_address_, "/control?backup=restore").status == 200);
+}
+
+std::string platform_deployment::newest_records(const std::string& topic) const {
+    return send({.address = store_address_, .path = "/api/log-newest?part=0&topic=" + topic}).body;
+}
+
 void platform_deployment::trim_topic(const std::string& topic) {
     REQUIRE(post(store_address_, "/control?trim=" + topic).status == 200);
 }
--- a/tests/support/platform_deployment.h
+++ b/tests/support/platform_deployment.h
@@ -58,6 +58,15 @@
     /** Sets the outage of the store: "none", "refuse", "silent" or "lost". */
     void set_store_outage(const std::string& outage);
 
+    /** Takes a backup of the store. */
+    void back_up_store();
+
+    /** Restores the store from its backup, which starts a new epoch. */
+    void restore_store();
+
+    /** Returns the newest records of a topic as the store's response in JSON. */
+    [[nodiscard]] std::string newest_records(const std::string& topic) const;
+
     /** Removes the history of a topic from the store. */
     void trim_topic(const std::string& topic);
 
