Order the store's records by epoch, then offset

Seen: after the store had been restored from a backup, nodes applied no new configuration, registration or evacuation until its offsets had passed the highest one that they had seen.

Cause: records were ordered by offset alone, and nothing read the epoch that the store states in its responses.

Change: results of the store, records, watermarks and pulled records carry the epoch. A copy of an older epoch is behind one of a newer epoch. When the epoch increases, everything is read again, and the node serves from its old copy until then. A configuration never goes back to a lower version. Evacuations stay as known where the restored record may be part of the backup; restored_end in the watermarks says from which offset on records were written after the restore. Removals in the new epoch count as after an outage. Late results of an older epoch are dropped; malformed or decreasing epochs are counted, logged once and treated as the highest one seen.

Stores without the header have the epoch 0; nothing changes for them.

--- a/modules/berylcrank_balance/catalog/record_table.cpp
+++ b/modules/berylcrank_balance/catalog/record_table.cpp
@@ -7,11 +7,14 @@
 
 void record_table::merge_record(const state_record& it) {
     auto& stored = records_[it.key];
-    if (!stored.record.key.empty() && stored.record.offset >= it.offset) {
+    if (!stored.record.key.empty() && stored.record.position() >= it.position()) {
         return;
     }
     stored.record = it;
-    if (changed_(it)) {
+    const bool has_changed = changed_(it);
+    if (it.epoch != epoch_) {
+        stored.changed_at = 0; // kept by another node; its offset belongs to an older epoch
+    } else if (has_changed) {
         stored.changed_at = it.offset;
         changed_end_ = std::max(changed_end_, it.offset + 1);
     }
@@ -36,8 +39,10 @@
     }
     std::vector<state_record> removed_keys;
     for (const auto& [key, stored] : records_) {
-        if (!stored.record.removed && stored.record.offset < end && !present.contains(key)) {
-            removed_keys.push_back({.key = key, .offset = end == 0 ? 0 : end - 1, .removed = true});
+        const bool is_before_end = stored.record.epoch == epoch_ && stored.record.offset < end;
+        if (!stored.record.removed && is_before_end && !present.contains(key)) {
+            removed_keys.push_back(
+                {.key = key, .offset = end == 0 ? 0 : end - 1, .removed = true, .epoch = epoch_});
         }
     }
     for (auto& it : removed_keys) {
@@ -49,6 +54,45 @@
     merge(records, end, confirmed);
 }
 
+bool record_table::keeps(const state_record& restored) const {
+    const auto known = records_.find(restored.key);
+    return known != records_.end() && keeps_ && keeps_(known->second.record, restored);
+}
+
+void record_table::begin_epoch(const epoch_start& start, std::span<const state_record> records,
+                               instant confirmed) {
+    epoch_ = start.epoch;
+    restored_end_ = start.restored_end;
+    end_ = 0;
+    changed_end_ = 0;
+    absl::flat_hash_set<std::string> present;
+    for (const auto& it : records) {
+        present.insert(it.key);
+    }
+    std::vector<state_record> missing;
+    for (auto& [key, stored] : records_) {
+        stored.changed_at = 0; // the offset belongs to an older epoch
+        if (!stored.record.removed && !present.contains(key)) {
+            const auto offset = start.end == 0 ? 0 : start.end - 1;
+            missing.push_back({.key = key, .offset = offset, .removed = true, .epoch = epoch_});
+        }
+    }
+    for (const auto& it : missing) {
+        if (!keeps(it)) {
+            merge_record(it);
+        }
+    }
+    for (const auto& it : records) {
+        const bool may_be_backup = it.epoch == epoch_ && it.offset < restored_end_;
+        if (!may_be_backup || !keeps(it)) {
+            merge_record(it);
+        }
+    }
+    complete_ = true;
+    end_ = start.end;
+    confirm(start.end, confirmed);
+}
+
 void record_table::confirm(std::uint64_t end, instant when) {
     if (complete_ && end_ >= end) {
         confirmed_ = std::max(confirmed_, when);
--- a/modules/berylcrank_gateway/node/gateway_node.cpp
+++ b/modules/berylcrank_gateway/node/gateway_node.cpp
@@ -40,11 +40,15 @@
                            metadata_store& store, event_log& log, const gateway_options& options)
     : io_(io), time_(time), log_(log), store_(store), node_(io, time, wire, log, options, entropy()),
       gateway_(node_), prober_(io, node_),
-      follower_(store, time, log, make_follower_options(options), node_.peers.self_number(),
-                options.self.incarnation,
-                [this](record_source source, const state_record& it, bool after_outage) {
-                    return apply_record(source, it, after_outage);
-                }),
+      follower_(
+          store, time, log, make_follower_options(options), node_.peers.self_number(),
+          options.self.incarnation,
+          [this](record_source source, const state_record& it, bool after_outage) {
+              return apply_record(source, it, after_outage);
+          },
+          [this](record_source source, const state_record& known, const state_record& restored) {
+              return keeps_record(source, known, restored);
+          }),
       peer_client_(io, time, max_state_response), gossip_(io, options.self.ip, options.self.gossip_port, time,
                                                           [this](const node_message& it) { on_message(it); }),
       ready_handler_(node_, [this] { return ready(); }),
--- a/modules/berylcrank_gateway/node/gateway_node.h
+++ b/modules/berylcrank_gateway/node/gateway_node.h
@@ -76,11 +76,13 @@
     void contact_new_nodes(const std::vector<node_info>& known, instant now);
     void apply_loads(const node_message& it, instant now);
     void on_newer_state(const peer& from, instant now);
-    void pull_state(const peer& from, instant now);
+    void pull_state(const peer& from);
     void pull_state_if_due(instant now);
     bool apply_record(record_source source, const state_record& it, bool after_outage);
     bool apply_operator_record(const state_record& it);
     bool apply_upstream_record(const state_record& it, bool after_outage);
+    [[nodiscard]] bool keeps_record(record_source source, const state_record& known,
+                                    const state_record& restored) const;
     void check_stop(instant now);
     void report_memory(instant now);
     [[nodiscard]] bool ready() const;
--- a/modules/berylcrank_gateway/node/gateway_node_records.cpp
+++ b/modules/berylcrank_gateway/node/gateway_node_records.cpp
@@ -12,6 +12,16 @@
 constexpr millis pull_spread{150};           // maximum random delay of a pull within a cell
 constexpr millis pull_delay{250};            // after which the other nodes pull from any node
 
+// Returns nothing if the configuration cannot be read.
+std::optional<std::uint64_t> config_version(const wire_format& wire, const state_record& it) {
+    return boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<std::optional<std::uint64_t>> {
+            BOOST_LEAF_AUTO(config, wire.read_config(it.value));
+            return std::optional(config.version);
+        },
+        [] { return std::optional<std::uint64_t>(); });
+}
+
 } // namespace
 
 void gateway_node::on_newer_state(const peer& from, instant now) {
@@ -23,7 +33,7 @@
     // pull_delay, so that they can pull from those, and so does a node without a complete copy.
     const bool fetches = follower_.complete() && node_.peers.rank_in_cell(now) < fetchers_per_cell;
     if (fetches || !node_.peers.has_multiple_cells()) {
-        pull_state(from, now);
+        pull_state(from);
     } else if (node_.peers.relation(from) == peer_relation::same_cell) {
         // A random delay keeps the nodes from all pulling at once from the first one that has the records.
         behind_since_ = std::min(behind_since_, now - pull_delay + pull_spread * node_.random.unit());
@@ -37,20 +47,17 @@
     const auto* from = node_.peers.find(behind_peer_);
     behind_peer_ = 0;
     if (from != nullptr) {
-        pull_state(*from, now);
+        pull_state(*from);
     }
 }
 
-void gateway_node::pull_state(const peer& from, instant now) {
+void gateway_node::pull_state(const peer& from) {
     if (pulling_) {
         return;
     }
     pulling_ = true;
-    const auto complete = follower_.watermarks(now);
-    const std::array<std::uint64_t, record_source_count> ends{complete[0].complete ? complete[0].end : 0,
-                                                              complete[1].complete ? complete[1].end : 0};
     const call_request request{.address = from.info.ip + ':' + std::to_string(from.info.gossip_port),
-                               .target = state_target(ends)};
+                               .target = state_target(follower_.ends())};
     peer_client_.call(request, pull_timeout, [this, name = from.info.name](const call_result& result) {
         pulling_ = false;
         const auto response =
@@ -71,6 +78,32 @@
                                               : apply_upstream_record(it, after_outage);
 }
 
+// Decides on records that may be part of the backup. The operator writes again what the backup lacks; until
+// then this node keeps what it knows. A configuration
+// that is not older than the known one was written after the restore, and so was an evacuation with a higher
+// offset than the known record, since the backup ends at or before that one.
+bool gateway_node::keeps_record(record_source source, const state_record& known,
+                                const state_record& restored) const {
+    if (source != record_source::operators) {
+        return false;
+    }
+    if (restored.removed) {
+        return true;
+    }
+    std::string domain;
+    switch (node_.wire.classify(known.key, domain)) {
+    case operator_record::evacuation:
+        return restored.offset <= known.offset;
+    case operator_record::configuration: {
+        const auto version = config_version(node_.wire, restored);
+        return !version || (!known.removed && *version < config_version(node_.wire, known).value_or(0));
+    }
+    case operator_record::other:
+        return false;
+    }
+    return false;
+}
+
 bool gateway_node::apply_operator_record(const state_record& it) {
     std::string domain;
     const auto kind = node_.wire.classify(it.key, domain);
--- a/modules/berylcrank_gateway/node/node_handlers.cpp
+++ b/modules/berylcrank_gateway/node/node_handlers.cpp
@@ -87,8 +87,10 @@
                 node_.wire.write_addresses(list, node_.options.address_ttl));
 }
 
-std::string state_target(const std::array<std::uint64_t, record_source_count>& from) {
-    return absl::StrCat(std::string(state_path), "?operators=", from[0], "&upstreams=", from[1]);
+std::string state_target(const std::array<store_position, record_source_count>& from) {
+    return absl::StrCat(std::string(state_path), "?operators=", from[0].offset,
+                        "&operators-epoch=", from[0].epoch, "&upstreams=", from[1].offset,
+                        "&upstreams-epoch=", from[1].epoch);
 }
 
 void state_handler::handle(const exchange_ptr& it) {
@@ -100,9 +102,11 @@
         it->respond(200, reason_phrase(200), {}, encode(nodes));
         return;
     }
-    std::array<std::uint64_t, record_source_count> from{};
-    if (path_of(*it) != state_path || !absl::SimpleAtoi(query_value(*it, "operators"), &from[0]) ||
-        !absl::SimpleAtoi(query_value(*it, "upstreams"), &from[1])) {
+    std::array<store_position, record_source_count> from{};
+    if (path_of(*it) != state_path || !absl::SimpleAtoi(query_value(*it, "operators"), &from[0].offset) ||
+        !absl::SimpleAtoi(query_value(*it, "operators-epoch"), &from[0].epoch) ||
+        !absl::SimpleAtoi(query_value(*it, "upstreams"), &from[1].offset) ||
+        !absl::SimpleAtoi(query_value(*it, "upstreams-epoch"), &from[1].epoch)) {
         respond_not_found(it);
         return;
     }
@@ -116,6 +120,9 @@
                                 follower_.age(record_source::operators, now).value() / 1000);
         node_.metrics.set_gauge("upstreams_age_seconds",
                                 follower_.age(record_source::upstreams, now).value() / 1000);
+        node_.metrics.set_gauge("store_epoch", static_cast<double>(follower_.epoch()));
+        node_.metrics.set_gauge("store_epochs_invalid", static_cast<double>(follower_.invalid_epochs()));
+        node_.metrics.set_gauge("store_results_late", static_cast<double>(follower_.late_results()));
         node_.metrics.set_gauge("config_version", static_cast<double>(node_.routes.version()));
         node_.metrics.set_gauge("live_nodes", static_cast<double>(node_.peers.live(now).size() + 1));
         node_.metrics.set_gauge("upstreams", static_cast<double>(node_.upstreams.all().size()));
@@ -139,6 +146,7 @@
                     absl::StrCat("{\"version\":", node_.routes.version(),
                                  ",\"upstreams\":", node_.upstreams.all().size(), ",\"nodes\":",
                                  node_.peers.live(now).size() + 1, ",\"waiting\":", node_.waiting.size(),
+                                 ",\"store_epoch\":", follower_.epoch(),
                                  ",\"store_lost\":", follower_.store_lost() ? "true" : "false", "}\n"));
         return;
     }
--- a/modules/berylcrank_gateway/node/node_handlers.h
+++ b/modules/berylcrank_gateway/node/node_handlers.h
@@ -54,8 +54,8 @@
 /** Request target that asks for the list of known nodes. */
 inline constexpr std::string_view nodes_target = "/nodes";
 
-/** Returns the request target that asks for records from the given offsets on. */
-std::string state_target(const std::array<std::uint64_t, record_source_count>& from);
+/** Returns the request target that asks for records from the given positions on. */
+std::string state_target(const std::array<store_position, record_source_count>& from);
 
 /** Serves status and metrics to operators. */
 class control_handler final : public request_handler {
--- a/modules/berylcrank_gateway/peers/node_message.cpp
+++ b/modules/berylcrank_gateway/peers/node_message.cpp
@@ -126,6 +126,8 @@
     to.setChanged(it.last_change_end);
     to.setReader(it.reader);
     to.setRead(it.read_number);
+    to.setEpoch(it.epoch);
+    to.setRestoredEnd(it.restored_end);
 }
 
 state_watermark read_watermark(schema::StateMark::Reader it) {
@@ -134,7 +136,9 @@
             .age = millis{it.getAgeMs()},
             .reader = it.getReader(),
             .read_number = it.getRead(),
-            .last_change_end = it.getChanged()};
+            .last_change_end = it.getChanged(),
+            .epoch = it.getEpoch(),
+            .restored_end = it.getRestoredEnd()};
 }
 
 void write(schema::LoadNews::Builder to, const load_update& it, instant now) {
@@ -354,6 +358,7 @@
             records[k].setKey(record.key);
             records[k].setOffset(record.offset);
             records[k].setRemoved(record.removed);
+            records[k].setEpoch(record.epoch);
             records[k].setValue(
                 kj::arrayPtr(reinterpret_cast<const kj::byte*>(record.value.data()), record.value.size()));
         }
@@ -377,7 +382,8 @@
                 response[i].records.push_back({.key = record.getKey().cStr(),
                                                .offset = record.getOffset(),
                                                .value = std::string(value.begin(), value.size()),
-                                               .removed = record.getRemoved()});
+                                               .removed = record.getRemoved(),
+                                               .epoch = record.getEpoch()});
             }
         }
         result = std::move(response);
--- a/modules/berylcrank_gateway/peers/node_message.h
+++ b/modules/berylcrank_gateway/peers/node_message.h
@@ -22,6 +22,8 @@
     std::uint64_t reader{0};          ///< Node whose read of the store confirmed `end`.
     std::uint64_t read_number{0};     ///< Number of that read; grows with each read of the node.
     std::uint64_t last_change_end{0}; ///< Offset after the last record that changed the node's state.
+    std::uint64_t epoch{0};           ///< Epoch of the store in which the offsets are valid.
+    std::uint64_t restored_end{0};    ///< Records from this offset on were written after the last restore.
 };
 
 /** Changes in a node's view of one upstream since its last message. */
--- a/modules/berylcrank_gateway/state/metadata_store.h
+++ b/modules/berylcrank_gateway/state/metadata_store.h
@@ -5,6 +5,7 @@
 #include "modules/berylcrank_core/time/millis.h"
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,10 @@
     std::uint64_t end{0};      ///< Offset after the last record read.
     bool more{false};          ///< The source has more records.
     std::size_t unreadable{0}; ///< Items that could not be parsed and are left out.
+    /** Epoch that the response states, 0 if it states none; nothing without a response or if malformed. It
+        increases when the store is restored from a backup. The records have the same epoch. */
+    std::optional<std::uint64_t> epoch{0};
+    bool malformed_epoch{false}; ///< The response states an epoch that could not be parsed.
 };
 
 /** Interface to the platform's store. Calls are asynchronous: each handler runs once, from the event loop,
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -73,6 +73,10 @@
   # Node whose read of the store confirmed `end`.
   read @5 :UInt64;
   # Sequence number of that read; increases with each read of that node.
+  epoch @6 :UInt64;
+  # Epoch of the store in which the offsets are valid; increases when it is restored from a backup.
+  restoredEnd @7 :UInt64;
+  # Records from this offset on were written after the last restore; others may be part of the backup.
 }
 
 struct UpstreamLoss {
@@ -135,6 +139,8 @@
   offset @1 :UInt64;
   value @2 :Data;
   removed @3 :Bool;
+  epoch @4 :UInt64;
+  # Epoch of the store that assigned the offset.
 }
 
 struct StateRun {
--- a/tests/balance/catalog_test.cpp
+++ b/tests/balance/catalog_test.cpp
@@ -87,6 +87,27 @@
     CHECK(subject.confirmed() == at(30));
 }
 
+// Guards against an order by offset alone, which ignores the records of a restored store.
+TEST_CASE_FIXTURE(record_table_fixture,
+                  "record_table, store starts a new epoch, replaces records of higher offsets") {
+    subject.merge(std::vector<state_record>{{.key = "a", .offset = 20, .value = "1"},
+                                            {.key = "b", .offset = 21, .value = "1"}},
+                  22, at(10));
+    subject.begin_epoch({.epoch = 1, .end = 5, .restored_end = 5},
+                        std::vector<state_record>{{.key = "a", .offset = 4, .value = "2", .epoch = 1}},
+                        at(20));
+    REQUIRE(seen.size() == 4);
+    CHECK(seen[2].key == "b");
+    CHECK(seen[2].removed);
+    CHECK(seen[3].value == "2");
+    CHECK(subject.end() == 5);
+    CHECK(subject.changed() == 5);
+    CHECK(subject.epoch() == 1);
+    subject.merge_snapshot({}, 9, at(30));
+    CHECK(seen.back().key == "a");
+    CHECK(seen.back().removed);
+}
+
 // An old copy from a node that was paused must not restore a key that a restarted node never saw, because the
 // key had been removed before its snapshot.
 TEST_CASE_FIXTURE(record_table_fixture,
--- a/tests/gateway/message_test.cpp
+++ b/tests/gateway/message_test.cpp
@@ -210,15 +210,19 @@
         routes += "{\"name\":\"r-" + std::to_string(n * 7919) +
                   "\",\"kind\":\"safe\",\"timeout-s\":1.2,\"max-attempts\":2},";
     }
-    it[0].watermark = {.complete = true, .end = 12, .last_change_end = 12};
+    it[0].watermark = {.complete = true, .end = 12, .last_change_end = 12, .epoch = 3, .restored_end = 4};
     it[0].records.push_back({.key = "config", .offset = 11, .value = routes});
     it[1].records.push_back({.key = "u", .offset = 3, .removed = true});
+    it[0].records[0].epoch = 2;
     const auto bytes = encode(it);
     CHECK(bytes.size() * 4 < routes.size());
     const auto read = decode_state(bytes);
     REQUIRE(read);
     CHECK((*read)[0].records.at(0).value == routes);
     CHECK((*read)[0].watermark.end == 12);
+    CHECK((*read)[0].watermark.epoch == 3);
+    CHECK((*read)[0].watermark.restored_end == 4);
+    CHECK((*read)[0].records[0].epoch == 2);
     CHECK((*read)[1].records.at(0).removed);
     for (std::size_t n = 0; n < bytes.size(); n += 97) {
         CHECK_FALSE(decode_state(std::string_view(bytes).substr(0, n)));
--- a/tests/gateway/state_follower_test.cpp
+++ b/tests/gateway/state_follower_test.cpp
@@ -111,12 +111,8 @@
             if (!alive[to] || !followers[to]->on_watermarks(sent, time.now())) {
                 return;
             }
-            const auto own = followers[to]->watermarks(time.now());
-            std::array<std::uint64_t, record_source_count> ends{};
-            for (std::size_t i = 0; i < ends.size(); ++i) {
-                ends[i] = own[i].complete ? own[i].end : 0;
-            }
-            followers[to]->merge(followers[from]->state_since(ends, time.now()), time.now());
+            const auto own = followers[to]->ends();
+            followers[to]->merge(followers[from]->state_since(own, time.now()), time.now());
         });
     }
 
@@ -227,7 +223,7 @@
         run(100);
     }
     CHECK(followers[0]->watermarks(time.now())[1].end > 15);
-    CHECK(followers[0]->state_since({0, 1}, time.now())[1].records.empty());
+    CHECK(followers[0]->state_since({{{}, {.offset = 1}}}, time.now())[1].records.empty());
     CHECK(followers[4]->watermarks(time.now())[1].end > 10); // covered by the confirmation of the reader
 }
 
