Do not use an upstream that has left because a backup still lists it

A restored store may list an upstream that has left since the backup, and nodes would use its address again.

Cause: a removed registration was forgotten, so that any record of its key counted as new.

Change: upstream_directory remembers the last registration of up to 4,096 upstreams that were removed. A registration of a later epoch must be newer (born, then sequence) than that. In the same epoch nothing changes. Upstreams that lapse after an outage are not remembered, because they register again unchanged.

Test: two cases of balance_test. The epoch of a registration is new, so they do not compile before.

--- a/modules/berylcrank_balance/catalog/upstream_directory.cpp
+++ b/modules/berylcrank_balance/catalog/upstream_directory.cpp
@@ -23,6 +23,9 @@
     if (existing && is_older(entry, existing->entry)) {
         return nullptr;
     }
+    if (!existing && departed_before(entry)) {
+        return nullptr;
+    }
     const bool same_start = existing && existing->entry.start_time_ms == entry.start_time_ms &&
                             existing->entry.address == entry.address &&
                             existing->entry.service == entry.service;
@@ -51,7 +54,21 @@
     return it;
 }
 
-void upstream_directory::remove(std::string_view id, bool after_outage, instant now) {
+void upstream_directory::remember_departure(const upstream_entry& last, std::uint64_t epoch, instant now) {
+    if (departures_.size() >= max_departures) {
+        absl::erase_if(departures_, [&](const auto& it) { return now - it.second.at > departure_memory; });
+    }
+    if (departures_.size() < max_departures) {
+        departures_[last.id] = {.last = last, .epoch = epoch, .at = now};
+    }
+}
+
+bool upstream_directory::departed_before(const upstream_entry& entry) const {
+    const auto it = departures_.find(entry.id);
+    return it != departures_.end() && entry.epoch > it->second.epoch && !is_older(it->second.last, entry);
+}
+
+void upstream_directory::remove(std::string_view id, bool after_outage, instant now, std::uint64_t epoch) {
     const auto it = find(id);
     if (!it || (it->lapsed && after_outage)) {
         return;
@@ -63,6 +80,7 @@
         return;
     }
     it->leaving = true;
+    remember_departure(it->entry, epoch, now);
     drop(std::string(id));
 }
 
--- a/modules/berylcrank_balance/catalog/upstream_directory.h
+++ b/modules/berylcrank_balance/catalog/upstream_directory.h
@@ -44,8 +44,10 @@
     upstream_ptr apply(const upstream_entry& entry, millis warm_up, instant now);
 
     /** Removes a registration. `after_outage` states that the store was unreachable just before; the upstream
-        is then kept for `lapse_grace`, unless it is draining. */
-    void remove(std::string_view id, bool after_outage, instant now);
+        is then kept for `lapse_grace`, unless it is draining. `epoch` is that of the removal: a registration
+        of a later epoch must be newer than the removed one, since a backup of the store may still list the
+        upstream. */
+    void remove(std::string_view id, bool after_outage, instant now, std::uint64_t epoch = 0);
 
     /** Sets whether a failure domain is evacuated. When the evacuation ends, the upstreams of the domain are
         cold for the time `warm_up`. */
@@ -82,6 +84,21 @@
     /** Number of announced leaves that are remembered after their upstreams have gone. */
     static constexpr std::size_t max_announced_leaves = 4096;
 
+    /** Number of removed registrations that are remembered. */
+    static constexpr std::size_t max_departures = 4096;
+    /** Time for which they are remembered at least, unless there are too many. A backup that is restored is
+        seconds old. */
+    static constexpr millis departure_memory{600000};
+
+    /** The last registration of an upstream that was removed. */
+    struct departure {
+        upstream_entry last;
+        std::uint64_t epoch{0}; ///< Epoch of the store in which it was removed.
+        instant at;
+    };
+
+    void remember_departure(const upstream_entry& last, std::uint64_t epoch, instant now);
+    [[nodiscard]] bool departed_before(const upstream_entry& entry) const;
     void drop(const std::string& id);
     [[nodiscard]] bool has_announced_leave(const upstream_entry& entry) const;
 
@@ -89,6 +106,7 @@
     absl::flat_hash_map<std::uint32_t, upstream_ptr> by_number_;
     absl::flat_hash_map<std::string, std::vector<upstream_ptr>> by_service_;
     absl::flat_hash_map<std::string, std::uint64_t> announced_leaves_; // start time by id
+    absl::flat_hash_map<std::string, departure> departures_;           // by id
     absl::flat_hash_set<std::string> evacuated_;
     instant next_lapse_{instant::never()}; // earliest time at which a lapsed upstream is removed
 };
--- a/modules/berylcrank_balance/catalog/upstream_entry.h
+++ b/modules/berylcrank_balance/catalog/upstream_entry.h
@@ -19,6 +19,7 @@
     millis cold_left;               ///< Remaining warm-up time when the registration was written.
     std::uint64_t sequence{0};      ///< Increases with each registration since one start.
     std::uint64_t start_time_ms{0}; ///< Start time in Unix milliseconds; 0 if not stated.
+    std::uint64_t epoch{0};         ///< Epoch of the store that holds the registration.
 };
 
 } // namespace berylcrank
--- a/modules/berylcrank_gateway/node/gateway_node_records.cpp
+++ b/modules/berylcrank_gateway/node/gateway_node_records.cpp
@@ -144,12 +144,13 @@
     const auto now = time_.now();
     if (it.removed) {
         log_.line("upstream-removed").field("upstream", it.key).field("after_outage", after_outage).send();
-        node_.upstreams.remove(it.key, after_outage, now);
+        node_.upstreams.remove(it.key, after_outage, now, it.epoch);
         return true;
     }
     return boost::leaf::try_handle_all(
         [&]() -> boost::leaf::result<bool> {
             BOOST_LEAF_AUTO(entry, node_.wire.read_upstream(it.key, it.value));
+            entry.epoch = it.epoch;
             const auto* service = node_.routes.service(entry.service);
             if (service == nullptr && node_.routes.ready()) {
                 return boost::leaf::new_error(std::string("service is not configured"));
--- a/tests/balance/catalog_test.cpp
+++ b/tests/balance/catalog_test.cpp
@@ -122,6 +122,36 @@
     CHECK(seen.back().key == "a");
 }
 
+// Guards against using an upstream that has left because a restored store still lists it.
+TEST_CASE_FIXTURE(
+    directory_fixture,
+    "upstream_directory, restored store lists an upstream that has left, waits for its report") {
+    subject.apply(entry("a", 100, 3), warm_up, at(0));
+    subject.remove("a", false, at(10));
+    auto restored = entry("a", 100, 2);
+    restored.epoch = 1;
+    CHECK_FALSE(subject.apply(restored, warm_up, at(20)));
+    restored.sequence = 3;
+    CHECK_FALSE(subject.apply(restored, warm_up, at(30)));
+    restored.sequence = 4;
+    CHECK(subject.apply(restored, warm_up, at(40)));
+    subject.remove("a", false, at(50), 1);
+    CHECK(subject.apply(restored, warm_up, at(60))); // registers again in the same epoch
+}
+
+// Guards against refusing an upstream that the backup lacks and that registers again unchanged.
+TEST_CASE_FIXTURE(directory_fixture,
+                  "upstream_directory, upstream missing in a restored store, may register again unchanged") {
+    subject.apply(entry("a", 100, 3), warm_up, at(0));
+    subject.remove("a", true, at(10), 1);
+    CHECK(subject.usable(*subject.find("a")));
+    subject.expire(at(10) + upstream_directory::lapse_grace);
+    CHECK(subject.find("a") == nullptr);
+    auto again = entry("a", 100, 3);
+    again.epoch = 1;
+    CHECK(subject.apply(again, warm_up, at(5000)));
+}
+
 // An upstream that announced its stop must stay out of use until its next start, whatever the order in which
 // records of its registration arrive.
 TEST_CASE_FIXTURE(directory_fixture,
