Announce a node again if a restored store does not list it

Seen: a node whose announcement was written after the backup stayed out of keyed.nodes after the restore, so that nodes which start later without seeds do not find it.

Cause: a node announced itself once and did not check the list again.

Change: when the epoch of the store increases, a registered node reads the list once, and announces itself again if its name and address are missing there. It does so once per epoch, whatever the list says after that.

--- a/modules/berylcrank_gateway/node/gateway_node.h
+++ b/modules/berylcrank_gateway/node/gateway_node.h
@@ -59,6 +59,7 @@
     void on_peer_heard(instant now);
     void announce();
     void list_nodes();
+    void check_announcement(const std::vector<node_info>& nodes, std::uint64_t epoch);
     void finish_store_call(store_outcome outcome);
     void pull_nodes(instant now);
     void on_unknown_node(const peer& sender, instant now);
@@ -128,9 +129,11 @@
     instant next_node_pull_;
     instant next_store_list_;
     instant next_seed_contact_;
-    bool has_node_list_{false};  // a list of nodes was read from the store or from another node
-    bool has_store_list_{false}; // the store's list of nodes was read
-    bool heard_peer_{false};     // a message of another node has arrived
+    bool has_node_list_{false};     // a list of nodes was read from the store or from another node
+    std::uint64_t listed_epoch_{0}; // epoch of the store in which it has this node's announcement
+    bool announcement_lost_{false}; // the restored store does not list this node
+    bool has_store_list_{false};    // the store's list of nodes was read
+    bool heard_peer_{false};        // a message of another node has arrived
     bool store_call_pending_{false};
     bool pulling_{false};
     bool stopping_{false};
--- a/modules/berylcrank_gateway/node/gateway_node_discovery.cpp
+++ b/modules/berylcrank_gateway/node/gateway_node_discovery.cpp
@@ -40,9 +40,10 @@
 
 void gateway_node::discover(instant now) {
     if (!store_call_pending_ && now >= next_store_call_) {
-        if (!node_.peers.self().registered && registration_due(now)) {
+        const bool list_is_due = !has_store_list_ || listed_epoch_ < follower_.epoch();
+        if (!node_.peers.self().registered && (announcement_lost_ || registration_due(now))) {
             announce();
-        } else if (node_.peers.self().registered && !has_store_list_) {
+        } else if (node_.peers.self().registered && list_is_due) {
             list_nodes();
         } else if (heard_peer_) {
             next_store_call_ = now + registration_check_interval;
@@ -81,28 +82,53 @@
     }
 }
 
+// A store that was restored from a backup may have lost this node's announcement. `epoch` is the highest one
+// that was known when the list was requested.
+void gateway_node::check_announcement(const std::vector<node_info>& nodes, std::uint64_t epoch) {
+    const auto& self = node_.peers.self();
+    const bool is_listed = std::any_of(nodes.begin(), nodes.end(), [&](const auto& it) {
+        return it.name == self.name && it.ip == self.ip && it.gossip_port == self.gossip_port;
+    });
+    if (!is_listed && epoch > listed_epoch_) {
+        announcement_lost_ = true;
+        node_.peers.set_registered(false);
+        node_.metrics.count_event("announcement-lost");
+        log_.line("announcement-lost").field("epoch", epoch).send();
+        return;
+    }
+    listed_epoch_ = epoch;
+}
+
 void gateway_node::announce() {
     store_call_pending_ = true;
-    store_.announce(node_.peers.self(), [this](store_outcome outcome) {
+    store_.announce(node_.peers.self(), [this, epoch = follower_.epoch()](store_outcome outcome) {
         node_.peers.set_registered(outcome == store_outcome::ok);
+        if (outcome == store_outcome::ok) {
+            announcement_lost_ = false;
+            listed_epoch_ = epoch;
+        }
         finish_store_call(outcome);
     });
 }
 
 void gateway_node::list_nodes() {
     store_call_pending_ = true;
-    store_.list_nodes(
-        [this](store_outcome outcome, const std::vector<node_info>& nodes, std::size_t unreadable) {
-            if (unreadable > 0) {
-                node_.metrics.count_event("unreadable-node");
-                log_.line("nodes-unreadable").field("count", static_cast<std::uint64_t>(unreadable)).send();
-            }
-            has_store_list_ = outcome == store_outcome::ok;
-            next_store_list_ = time_.now() + list_interval;
-            has_node_list_ = has_node_list_ || has_store_list_;
-            finish_store_call(outcome);
-            learn_nodes(nodes);
-        });
+    store_.list_nodes([this, epoch = follower_.epoch()](store_outcome outcome,
+                                                        const std::vector<node_info>& nodes,
+                                                        std::size_t unreadable) {
+        if (unreadable > 0) {
+            node_.metrics.count_event("unreadable-node");
+            log_.line("nodes-unreadable").field("count", static_cast<std::uint64_t>(unreadable)).send();
+        }
+        has_store_list_ = outcome == store_outcome::ok;
+        next_store_list_ = time_.now() + list_interval;
+        has_node_list_ = has_node_list_ || has_store_list_;
+        finish_store_call(outcome);
+        if (has_store_list_) {
+            check_announcement(nodes, epoch);
+        }
+        learn_nodes(nodes);
+    });
 }
 
 void gateway_node::pull_nodes(instant now) {
--- a/tests/process/gateway_restore_test.cpp
+++ b/tests/process/gateway_restore_test.cpp
@@ -105,4 +105,18 @@
     wait_everywhere("/l/a", 200);
 }
 
+// Guards against a node that is missing in the restored list of nodes and does not enter itself again.
+TEST_CASE_FIXTURE(gateway_restore_fixture,
+                  "gateway, restored store does not list a node, the node announces itself again") {
+    subject.back_up_store();
+    const auto name = "\"" + subject.start_node().name + "\"";
+    const auto is_listed = [&] {
+        return subject.newest_records("keyed.nodes").find(name) != std::string::npos;
+    };
+    wait_until("the store lists the node", is_listed);
+    subject.restore_store();
+    CHECK_FALSE(is_listed());
+    wait_until("the store lists the node again", is_listed);
+}
+
 } // namespace berylcrank::testing
