--- a/tests/balance/catalog_test.cpp
+++ b/tests/balance/catalog_test.cpp
@@ -87,6 +87,27 @@
     CHECK(subject.confirmed() == at(30));
 }
 
+// Guards against an order by offset alone, which ignores the records of a restored store.
+TEST_CASE_FIXTURE(record_table_fixture,
+                  "record_table, store starts a new epoch, replaces records of higher offsets") {
+    subject.merge(std::vector<state_record>{{.key = "a", .offset = 20, .value = "1"},
+                                            {.key = "b", .offset = 21, .value = "1"}},
+                  22, at(10));
+    subject.begin_epoch({.epoch = 1, .end = 5, .restored_end = 5},
+                        std::vector<state_record>{{.key = "a", .offset = 4, .value = "2", .epoch = 1}},
+                        at(20));
+    REQUIRE(seen.size() == 4);
+    CHECK(seen[2].key == "b");
+    CHECK(seen[2].removed);
+    CHECK(seen[3].value == "2");
+    CHECK(subject.end() == 5);
+    CHECK(subject.changed() == 5);
+    CHECK(subject.epoch() == 1);
+    subject.merge_snapshot({}, 9, at(30));
+    CHECK(seen.back().key == "a");
+    CHECK(seen.back().removed);
+}
+
 // An old copy from a node that was paused must not restore a key that a restarted node never saw, because the
 // key had been removed before its snapshot.
 TEST_CASE_FIXTURE(record_table_fixture,
@@ -101,6 +122,36 @@
     CHECK(seen.back().key == "a");
 }
 
+// Guards against using an upstream that has left because a restored store still lists it.
+TEST_CASE_FIXTURE(
+    directory_fixture,
+    "upstream_directory, restored store lists an upstream that has left, waits for its report") {
+    subject.apply(entry("a", 100, 3), warm_up, at(0));
+    subject.remove("a", false, at(10));
+    auto restored = entry("a", 100, 2);
+    restored.epoch = 1;
+    CHECK_FALSE(subject.apply(restored, warm_up, at(20)));
+    restored.sequence = 3;
+    CHECK_FALSE(subject.apply(restored, warm_up, at(30)));
+    restored.sequence = 4;
+    CHECK(subject.apply(restored, warm_up, at(40)));
+    subject.remove("a", false, at(50), 1);
+    CHECK(subject.apply(restored, warm_up, at(60))); // registers again in the same epoch
+}
+
+// Guards against refusing an upstream that the backup lacks and that registers again unchanged.
+TEST_CASE_FIXTURE(directory_fixture,
+                  "upstream_directory, upstream missing in a restored store, may register again unchanged") {
+    subject.apply(entry("a", 100, 3), warm_up, at(0));
+    subject.remove("a", true, at(10), 1);
+    CHECK(subject.usable(*subject.find("a")));
+    subject.expire(at(10) + upstream_directory::lapse_grace);
+    CHECK(subject.find("a") == nullptr);
+    auto again = entry("a", 100, 3);
+    again.epoch = 1;
+    CHECK(subject.apply(again, warm_up, at(5000)));
+}
+
 // An upstream that announced its stop must stay out of use until its next start, whatever the order in which
 // records of its registration arrive.
 TEST_CASE_FIXTURE(directory_fixture,
