Table of client accounts by key

Cause: the configuration of a deployment may contain accounts of callers (docs/design/resilience-and-accounts.md, part 5), for which there were no types and no lookup.

Change: client_account, account_table and their place in deployment_config.

Nothing uses the table yet.

--- a/modules/berylcrank_balance/berylcrank_balance.h
+++ b/modules/berylcrank_balance/berylcrank_balance.h
@@ -3,14 +3,16 @@
 /** @file
     Module berylcrank_balance: load-balancing decisions of a node that serves callers on the platform.
 
-    Areas: config (routes and traffic splits), catalog (records of the store, upstreams), load (load of the
-    upstreams), choice (selection of an upstream, hedging), admission (queueing and refusal of requests),
-    budget (retry budget), warmup (rate limit for cold upstreams), peers (other nodes, assignment of duties).
+    Areas: config (routes and traffic splits), account (accounts of callers), catalog (records of the store,
+   upstreams), load (load of the upstreams), choice (selection of an upstream, hedging), admission (queueing
+   and refusal of requests), budget (retry budget), warmup (rate limit for cold upstreams), peers (other
+   nodes, assignment of duties).
 
     Dependencies: berylcrank_core, Abseil, xxhash. Does no I/O; time and randomness are passed in. Not
     thread-safe: used by a single thread.
 */
 
+#include "modules/berylcrank_balance/account/account_table.h"
 #include "modules/berylcrank_balance/admission/prior_wait_estimator.h"
 #include "modules/berylcrank_balance/admission/slot_shares.h"
 #include "modules/berylcrank_balance/admission/startup_limiter.h"
--- a/modules/berylcrank_balance/config/deployment_config.h
+++ b/modules/berylcrank_balance/config/deployment_config.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "modules/berylcrank_balance/account/client_account.h"
 #include "modules/berylcrank_core/time/millis.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -36,6 +38,7 @@
     millis latency_target; ///< Wanted response time; 0 if not set.
     int priority{0};       ///< 0 is the most urgent.
     int max_attempts{1};   ///< Number of upstreams to which one caller attempt may be sent.
+    bool is_public{false}; ///< Requests need no account, also if the configuration has accounts.
     std::vector<traffic_part> parts;
 };
 
@@ -62,6 +65,7 @@
     std::vector<route_entry> routes;
     std::vector<service_settings> services;
     ingress_limits limits;
+    std::optional<std::vector<client_account>> accounts; ///< Without a list, requests need no account.
 };
 
 } // namespace berylcrank
