Read client accounts, public routes and keys of requests

Cause: the configuration's accounts and public routes, and the header with the key, were not read.

Change: read_config fills accounts and is_public; read_key takes the key from the value of the authorization header (one scheme in any case, at least one space, visible ASCII). A configuration is invalid if two accounts share a key, a key is empty, or a name cannot be the value of a header, since it is sent in one. Error messages are logged and contain no key. A public field that is not the boolean true does not make a route public, and does not make the configuration invalid, so that configurations without accounts stay valid.

--- a/modules/berylcrank_gateway/flow/wire_format.h
+++ b/modules/berylcrank_gateway/flow/wire_format.h
@@ -24,6 +24,9 @@
     std::string load;            ///< On a response: the load of the upstream.
     std::string upstream_id;     ///< On a health response: id of the upstream.
     std::string warm_up_left;    ///< On a health response: milliseconds until the upstream is warm.
+    std::string authorization;   ///< Of a caller: contains the key of its account.
+    std::string account;         ///< To an upstream: name of the caller's account.
+    std::string challenge;       ///< On a 401 response: how to send a key.
 };
 
 /** Kinds of the operators' records. */
@@ -53,12 +56,19 @@
     /** Returns whether the value of the leaving header announces a stop. */
     [[nodiscard]] virtual bool read_leaving(std::string_view value) const = 0;
 
+    /** Parses the authorization header of a request. Returns the key, which is not empty, or nothing if the
+        value has another form. */
+    [[nodiscard]] virtual std::optional<std::string_view> read_key(std::string_view value) const = 0;
+
+    /** Returns the value of the challenge header. */
+    [[nodiscard]] virtual std::string_view challenge() const = 0;
+
     /** Returns the kind of the record that an operators' key names. Sets `failure_domain` for an
         evacuation. */
     [[nodiscard]] virtual operator_record classify(std::string_view key,
                                                    std::string& failure_domain) const = 0;
 
-    /** Parses a configuration. */
+    /** Parses a configuration. Error messages contain no key of an account. */
     [[nodiscard]] virtual boost::leaf::result<deployment_config>
     read_config(std::string_view value) const = 0;
 
--- a/tests/adapter/platform_test.cpp
+++ b/tests/adapter/platform_test.cpp
@@ -28,8 +28,26 @@
             },
             [] { return std::optional<deployment_config>(); });
     }
+
+    // Returns the reason why a configuration is invalid, or an empty string.
+    std::string config_error(const std::string& text) {
+        return boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<std::string> {
+                BOOST_LEAF_CHECK(subject.read_config(text));
+                return std::string();
+            },
+            [](const std::string& reason) { return reason; }, [] { return std::string("unknown"); });
+    }
 };
 
+std::string with_tenants(const std::string& list) {
+    return R"({"version":"00000001","services":[],"tenants":)" + list +
+           R"(,"virtual-hosts":[{"host":"a","paths":[)"
+           R"({"name":"r","path-prefix":"/r","kind":"safe","service":"s","public":true},)"
+           R"({"name":"s","path-prefix":"/s","kind":"safe","service":"s","public":false},)"
+           R"({"name":"t","path-prefix":"/t","kind":"safe","service":"s","public":"true"}]}]})";
+}
+
 const std::string valid_entry =
     R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":6,)"
     R"("state":"ready","warmup-left-s":1.5,"sequence":4,"born":1700000000123})";
@@ -153,6 +171,64 @@
                R"("path-prefix":"/","kind":"maybe","service":"s"}]}]})"));
 }
 
+// Guards against accounts whose keys or limits are assigned to the wrong fields, and against accounts that
+// are required although none are configured.
+TEST_CASE_FIXTURE(json_wire_format_fixture, "json_wire_format, accounts, are parsed with optional fields") {
+    const auto it = config(with_tenants(
+        R"([{"name":"a b","api-keys":["k-1","k-2","k-1"],"priority":3,"rate-per-s":2.5,"burst":7},)"
+        R"({"name":"c","api-keys":[]}])"));
+    REQUIRE(it);
+    REQUIRE(it->accounts);
+    const auto& full = it->accounts->at(0);
+    CHECK(full.name == "a b");
+    CHECK(full.keys == std::vector<std::string>{"k-1", "k-2", "k-1"});
+    CHECK(full.priority == 3);
+    CHECK(full.rate_per_second == doctest::Approx(2.5));
+    CHECK(full.burst == doctest::Approx(7));
+    const auto& bare = it->accounts->at(1);
+    CHECK(bare.keys.empty());
+    CHECK_FALSE(bare.priority);
+    CHECK_FALSE(bare.rate_per_second);
+    CHECK_FALSE(bare.burst);
+    CHECK(it->routes.at(0).is_public);
+    CHECK_FALSE(it->routes.at(1).is_public);
+    CHECK_FALSE(it->routes.at(2).is_public);
+    CHECK(config(with_tenants("[]"))->accounts->empty());
+    CHECK_FALSE(config(with_replaced(with_tenants("[]"), R"("tenants":[],)", ""))->accounts);
+}
+
+// Guards against a configuration whose accounts are applied in part, against names that add header fields,
+// and against keys in error messages, which are logged.
+TEST_CASE_FIXTURE(json_wire_format_fixture,
+                  "json_wire_format, invalid accounts, are an error that contains no key") {
+    for (const auto* text :
+         {R"(null)", R"({})", R"(["key-1"])", R"([{"name":"a"}])", R"([{"api-keys":["key-1"]}])",
+          R"([{"name":"","api-keys":["key-1"]}])", R"([{"name":" a","api-keys":["key-1"]}])",
+          R"([{"name":"a\r\nX: 1","api-keys":["key-1"]}])", R"([{"name":"a","api-keys":"key-1"}])",
+          R"([{"name":"a","api-keys":["key-1",7]}])", R"([{"name":"a","api-keys":["key-1",""]}])",
+          R"([{"name":"a","api-keys":["key-1"],"priority":"key-1"}])",
+          R"([{"name":"a","api-keys":["key-1"],"rate-per-s":-1}])",
+          R"([{"name":"a","api-keys":["key-1"],"burst":"1"}])",
+          R"([{"name":"a","api-keys":["key-1"]},{"name":"b","api-keys":["key-2","key-1"]}])"}) {
+        CAPTURE(text);
+        const auto reason = config_error(with_tenants(text));
+        CHECK_FALSE(reason.empty());
+        CHECK(reason.find("key-") == std::string::npos);
+    }
+}
+
+// Guards against credentials of another form that pass for a key.
+TEST_CASE_FIXTURE(json_wire_format_fixture, "json_wire_format, credentials, yield a key only in one form") {
+    CHECK(subject.read_key("Bearer k-1") == "k-1");
+    CHECK(subject.read_key("bEARER   k-1=") == "k-1=");
+    for (const auto* text : {"", "Bearer", "Bearer ", "Bearer  ", " Bearer k", "Bearerk", "Bearer\tk",
+                             "Basic k", "k", "Bearer k k", "Bearer k ", "Bearer k\x7f", "Bearer \xc3\xa9"}) {
+        CAPTURE(text);
+        CHECK_FALSE(subject.read_key(text));
+    }
+    CHECK(subject.read_key("Bearer " + std::string(8192, 'k'))->size() == 8192);
+}
+
 // Guards against treating an upstream as idle because its load header has another format.
 TEST_CASE_FIXTURE(json_wire_format_fixture,
                   "json_wire_format, load header, is parsed with and without the slowness") {
