Stand-ins: headers that a worker received, first configuration of a test

Cause: no test could see what headers reach an upstream, or start a deployment with another configuration than version 1 of the test support.

Change: the worker stand-in lists the header of its last 256 requests at /received-headers. platform_deployment takes a first configuration, and its config() additional fields.

The process tests that use these stand-ins differently do not change.

--- a/standins/platform_worker/worker.cpp
+++ b/standins/platform_worker/worker.cpp
@@ -2,6 +2,7 @@
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 #include <absl/strings/str_replace.h>
 #include <absl/strings/str_split.h>
 #include <array>
@@ -94,17 +95,45 @@
     return list;
 }
 
+std::string worker::received_list() const {
+    return absl::StrJoin(received_, "\n");
+}
+
+void worker::record_received(const request_head& head) {
+    constexpr std::size_t max_received = 256;
+    std::string text = absl::StrCat(head.method, " ", head.target, "\n");
+    for (const auto& [name, value] : head.headers) {
+        absl::StrAppend(&text, name, ": ", value, "\n");
+    }
+    received_.push_back(std::move(text));
+    if (received_.size() > max_received) {
+        received_.pop_front();
+    }
+}
+
+bool worker::report(const connection_ptr& it, const request_head& head) {
+    if (head.target == "/runs") {
+        send(it, response(head, 200, "", run_list()));
+    } else if (head.target == "/received-in-pause") {
+        send(it, response(head, 200, "", std::to_string(received_in_pause_)));
+    } else if (head.target == "/received-headers") {
+        send(it, response(head, 200, "", received_list()));
+    } else {
+        return false;
+    }
+    return true;
+}
+
 void worker::handle_request(const connection_ptr& it, request_head head) {
     if (head.target.starts_with("/control")) {
         update_behaviour(head.target);
         send(it, response(head, 200, "", ""));
         return;
     }
-    if (head.target == "/runs" || head.target == "/received-in-pause") {
-        send(it, response(head, 200, "",
-                          head.target == "/runs" ? run_list() : std::to_string(received_in_pause_)));
+    if (report(it, head)) {
         return;
     }
+    record_received(head);
     count_in_pause();
     const auto target = header(head, "Target-Instance");
     if (!target.empty() && target != behaviour_.id) {
--- a/standins/platform_worker/worker.h
+++ b/standins/platform_worker/worker.h
@@ -42,6 +42,8 @@
    changes its behaviour.
     - `GET /received-in-pause`: number of requests received, health checks included, between half a second
    after the first response with `Retry-After` and the end of the time that it stated.
+    - `GET /received-headers`: method, target and header of each of the last 256 requests received, health
+   checks included; each ends with an empty line.
     - `GET /runs`: lists `id count` for each request that it has started.
     - `GET /healthz`: the health check.
 */
@@ -61,6 +63,8 @@
 
     void accept_next();
     void read(const connection_ptr& it);
+    /** Responds to a request for what the worker has counted or received. Returns whether it was one. */
+    bool report(const connection_ptr& it, const request_head& head);
     void handle_request(const connection_ptr& it, request_head head);
     void start_next();
     void run(const job& it);
@@ -73,6 +77,8 @@
     bool sheds_again(const connection_ptr& it, const request_head& head);
     void send_slowly(const connection_ptr& it, const std::string& start);
     [[nodiscard]] std::string run_list() const;
+    [[nodiscard]] std::string received_list() const;
+    void record_received(const request_head& head);
     void count_in_pause();
     void update_behaviour(const std::string& target);
     [[nodiscard]] std::string response(const request_head& head, int status, const std::string& more,
@@ -86,6 +92,7 @@
     int running_{0};
     std::map<std::string, int> runs_;
     int received_in_pause_{0};
+    std::deque<std::string> received_; // newest last
     std::chrono::steady_clock::time_point pause_from_;
     std::chrono::steady_clock::time_point pause_until_;
 };
--- a/tests/support/platform_deployment.cpp
+++ b/tests/support/platform_deployment.cpp
@@ -1,5 +1,6 @@
 #include "tests/support/platform_deployment.h"
 
+#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
 #include <boost/asio/io_context.hpp>
@@ -54,11 +55,12 @@
 
 } // namespace
 
-platform_deployment::platform_deployment(int nodes, int workers, int failure_domains, std::string settings)
+platform_deployment::platform_deployment(int nodes, int workers, int failure_domains, std::string settings,
+                                         const std::string& first_config)
     : failure_domains_(failure_domains), settings_(std::move(settings)) {
     store_ = std::make_unique<child>(std::vector<std::string>{program_path("standin_platform_store")});
     store_address_ = store_->wait_listening().at("http");
-    put_operator_record("config", config(1));
+    put_operator_record("config", first_config.empty() ? config(1) : first_config);
     for (const auto* service : {"lookups", "orders", "files"}) {
         for (int n = 0; n < workers; ++n) {
             start_worker(service, n);
@@ -72,13 +74,13 @@
     }
 }
 
-std::string platform_deployment::config(int version, const std::string& extra) {
+std::string platform_deployment::config(int version, const std::string& extra, const std::string& fields) {
     auto routes = absl::StrCat(extra, route("lookups", "/l/", "safe", 2), route("orders", "/o/", "unsafe", 1),
                                route("files", "/f/", "download", 2));
     routes.pop_back(); // The last comma.
     return absl::StrCat(
-        R"({"version":")", absl::Hex(version, absl::kZeroPad8), R"(","services":[)", service("lookups"), ",",
-        service("orders"), ",", service("files"),
+        R"({"version":")", absl::Hex(version, absl::kZeroPad8), R"(",)", fields, R"("services":[)",
+        service("lookups"), ",", service("orders"), ",", service("files"),
         R"(],"limits":{"max-header-bytes":16384,"max-body-bytes":1048576,"header-timeout-s":3,)",
         R"("idle-timeout-s":15},"virtual-hosts":[{"host":"shop.example","paths":[)", routes, "]}]}");
 }
@@ -128,6 +130,19 @@
     REQUIRE(worker.process->wait_listening().at("http") == worker.address);
 }
 
+std::string platform_deployment::received_header(const std::string& id) {
+    std::string result;
+    for (const auto& worker : workers_) {
+        const auto text = send({.address = worker.address, .path = "/received-headers"}).body;
+        for (const absl::string_view part : absl::StrSplit(text, "\n\n")) {
+            if (absl::StrContains(absl::StrCat(part, "\n"), absl::StrCat("\nRequest-Id: ", id, "\n"))) {
+                result = std::string(part);
+            }
+        }
+    }
+    return result;
+}
+
 int platform_deployment::execution_count(const std::string& id) {
     int n = 0;
     for (const auto& worker : workers_) {
--- a/tests/support/platform_deployment.h
+++ b/tests/support/platform_deployment.h
@@ -36,8 +36,10 @@
     /** Starts the store, publishes configuration version 1, and starts `nodes` gateways and `workers` workers
         per service. The services are "lookups" (route /l/, safe), "orders" (/o/, unsafe) and "files" (/f/,
         download). Waits until all gateways are ready. The gateways are spread over `failure_domains`.
-        `settings` holds additional lines of the gateways' settings files, each with its line end. */
-    platform_deployment(int nodes, int workers, int failure_domains = 1, std::string settings = "");
+        `settings` holds additional lines of the gateways' settings files, each with its line end.
+        `first_config` replaces the configuration version 1 if it is not empty. */
+    platform_deployment(int nodes, int workers, int failure_domains = 1, std::string settings = "",
+                        const std::string& first_config = "");
 
     /** Writes a record of a topic. An empty value removes the key. */
     void put_record(const std::string& topic, const std::string& key, const std::string& value);
@@ -52,8 +54,9 @@
     void remove_worker_record(const platform_worker& worker);
 
     /** Returns the configuration of a version in JSON. `extra` holds additional routes in JSON, each followed
-        by a comma. */
-    [[nodiscard]] static std::string config(int version, const std::string& extra = "");
+        by a comma; `fields` holds additional fields of the configuration in the same way. */
+    [[nodiscard]] static std::string config(int version, const std::string& extra = "",
+                                            const std::string& fields = "");
 
     /** Sets the outage of the store: "none", "refuse", "silent" or "lost". */
     void set_store_outage(const std::string& outage);
@@ -71,6 +74,10 @@
         that of the run before. */
     static void restart_worker(platform_worker& worker);
 
+    /** Returns the method, target and header of a request as a worker has received it last; empty if no
+        worker has received it. Workers remember their last 256 requests. */
+    std::string received_header(const std::string& id);
+
     /** Returns how many times all workers together have started a request. */
     int execution_count(const std::string& id);
 
