Client accounts: require a key, name the account to upstreams

What callers saw: the accounts of a configuration had no effect. Requests without a key ran, keys were forwarded to upstreams, and callers could name any account.

Requests without a key, with an unknown one and with 12 odd headers get 200 (an 8 KB one 502) instead of 401, the worker receives Authorization and the caller's Tenant-Id, a removed key stays valid on an open connection and in the queue, and two accounts with one key are accepted.

Change: node_state::apply_config replaces routes and accounts in one step. The gateway checks the key before it looks at the route's existence (401 takes precedence over 404) and before it refuses a pipelined unsafe request. Queued requests are checked again after each new version, with the next tick and before they are sent; requests that would be sent again are checked too. Flows remove Authorization and Tenant-Id and set the latter to the account's name. The account's priority overrides that of the route, and the detector of crashing requests takes an account for one caller. Without accounts, nothing changes.

Not tested: a request that is to be sent again after its key has been removed.

--- a/modules/berylcrank_gateway/flow/gateway.cpp
+++ b/modules/berylcrank_gateway/flow/gateway.cpp
@@ -14,34 +14,49 @@
 // Weight of the newest interval in the moving average of the arrival rate, by which nodes share slots.
 constexpr double arrival_weight = 0.07;
 
+std::string_view path_of(const request_head& head) {
+    return std::string_view(head.target).substr(0, head.target.find('?'));
+}
+
 } // namespace
 
 void gateway::handle(const exchange_ptr& it) {
-    if (!it->has_earlier_requests()) {
-        start_flow(it);
+    if (!node_.routes.ready()) {
+        respond_unavailable(it, node_);
+        return;
+    }
+    auto route = find_route(it->head, node_);
+    // Comes before the response to an absent route, which would tell callers without a key what routes exist.
+    if (!node_.check_access(it->head.headers, route.get()).allowed) {
+        const auto* id = find_header(it->head.headers, node_.wire.headers().request_id);
+        node_.log.line("unauthorized")
+            .field("request", id == nullptr ? "" : *id)
+            .field("version", node_.routes.version())
+            .send();
+        node_.metrics.count_response("none", "unauthorized", -1);
+        respond_unauthorized(it, node_);
         return;
     }
     // A pipelined request runs concurrently with the requests before it if it is idempotent; otherwise it is
     // refused and the caller can send it again.
-    const auto* host = find_header(it->head.headers, "Host");
-    const auto route = node_.routes.find(host == nullptr ? "" : *host, it->head.target);
-    if (route && !is_idempotent(route->kind)) {
+    if (it->has_earlier_requests() && route && !is_idempotent(route->kind)) {
         respond_unavailable(it, node_);
         return;
     }
-    start_flow(it);
+    start_flow(it, std::move(route));
 }
 
-void gateway::start_flow(const exchange_ptr& it) {
-    const auto* host = find_header(it->head.headers, "Host");
-    const auto path = std::string_view(it->head.target).substr(0, it->head.target.find('?'));
-    if (!node_.routes.ready()) {
-        respond_unavailable(it, node_);
-        return;
-    }
-    auto route = node_.routes.find(host == nullptr ? "" : *host, path);
+std::shared_ptr<const route_entry> gateway::find_route(const request_head& head, const node_state& node) {
+    const auto* host = find_header(head.headers, "Host");
+    return node.routes.find(host == nullptr ? "" : *host, path_of(head));
+}
+
+void gateway::start_flow(const exchange_ptr& it, std::shared_ptr<const route_entry> route) {
     if (!route || route->parts.empty()) {
-        node_.log.line("no-route").field("path", path).field("version", node_.routes.version()).send();
+        node_.log.line("no-route")
+            .field("path", path_of(it->head))
+            .field("version", node_.routes.version())
+            .send();
         node_.metrics.count_response("none", "no-route", -1);
         it->respond(404, reason_phrase(404), {}, "");
         return;
@@ -58,6 +73,11 @@
     it->respond(503, reason_phrase(503), {{node.wire.headers().retry_after, "0.2"}}, "");
 }
 
+void gateway::respond_unauthorized(const exchange_ptr& it, const node_state& node) {
+    it->respond(401, reason_phrase(401),
+                {{node.wire.headers().challenge, std::string(node.wire.challenge())}}, "");
+}
+
 void gateway::tick(instant now) {
     update_rates(now);
     for (const auto& service : node_.waiting.services()) {
@@ -107,7 +127,7 @@
             return true;
         }
         const auto flow = found->second;
-        if (flow->refuse_if_suspect()) {
+        if (flow->refuse_without_access() || flow->refuse_if_suspect()) {
             return true;
         }
         const auto picked = flow->pick();
--- a/modules/berylcrank_gateway/flow/gateway.h
+++ b/modules/berylcrank_gateway/flow/gateway.h
@@ -7,8 +7,8 @@
 
 namespace berylcrank {
 
-/** Handles the requests of callers: finds the route of a request, creates its request_flow, and sends waiting
-    requests when an upstream has a free slot.
+/** Handles the requests of callers: finds the route of a request, checks its account, creates its
+   request_flow, and sends waiting requests when an upstream has a free slot.
 
     @see request_flow, node_state
 */
@@ -50,6 +50,11 @@
     /** Refuses the oldest on-time requests in the queue if more are queued than can complete within
         `max_wait`, least urgent ones first. */
     void limit_queue(const std::string& service, millis max_wait);
+    /** Returns the route of a request in the active configuration, or null. */
+    [[nodiscard]] static std::shared_ptr<const route_entry> find_route(const request_head& head,
+                                                                       const node_state& node);
+    /** Responds that the request did not run because it carries no key of an account. */
+    static void respond_unauthorized(const exchange_ptr& it, const node_state& node);
     /** Removes a flow that has ended. */
     void remove_flow(std::uint64_t number);
 
@@ -66,7 +71,7 @@
         instant exit;
     };
 
-    void start_flow(const exchange_ptr& it);
+    void start_flow(const exchange_ptr& it, std::shared_ptr<const route_entry> route);
     [[nodiscard]] std::vector<std::shared_ptr<request_flow>> all_flows() const;
     bool send_next_waiting(const std::string& service);
     void update_rates(instant now);
--- a/modules/berylcrank_gateway/flow/node_state.cpp
+++ b/modules/berylcrank_gateway/flow/node_state.cpp
@@ -19,6 +19,32 @@
     return result;
 }
 
+bool node_state::apply_config(deployment_config config) {
+    auto list = config.accounts;
+    if (!routes.apply(std::move(config))) {
+        return false;
+    }
+    accounts.replace(std::move(list));
+    return true;
+}
+
+access_result node_state::check_access(const header_list& headers, const route_entry* route) const {
+    if (!accounts.required()) {
+        return {.allowed = true};
+    }
+    const std::string* value = nullptr;
+    int count = 0;
+    for (const auto& [field, text] : headers) {
+        if (header_names_equal(field, wire.headers().authorization)) {
+            value = &text;
+            ++count;
+        }
+    }
+    const auto key = count == 1 ? wire.read_key(*value) : std::nullopt;
+    const auto* account = key ? accounts.find(*key) : nullptr;
+    return {.allowed = account != nullptr || (route != nullptr && route->is_public), .account = account};
+}
+
 std::optional<load_snapshot> node_state::apply_response(upstream& it, const response_head& head,
                                                         instant connected_at, instant now) {
     if (head.status == 421) {
--- a/modules/berylcrank_gateway/flow/node_state.h
+++ b/modules/berylcrank_gateway/flow/node_state.h
@@ -14,6 +14,13 @@
 
 namespace berylcrank {
 
+/** Result of the access check of a request. */
+struct access_result {
+    bool allowed{false};
+    const client_account* account{
+        nullptr}; ///< Of the caller; null if it has none. Valid until a new configuration.
+};
+
 /** State of a node that its components share. Not thread-safe.
 
     @see gateway, prober, gateway_node
@@ -44,6 +51,7 @@
     seeded_random random;
 
     route_table routes;
+    account_table accounts{entropy()};
     weighted_split split;
     upstream_directory upstreams;
     load_tracker loads;
@@ -71,6 +79,13 @@
         return budgets.try_emplace(service, windowed_retry_budget(options.retries)).first->second;
     }
 
+    /** Activates `config` if its version is higher than the active one; returns whether it did. */
+    bool apply_config(deployment_config config);
+
+    /** Checks whether a request with these headers may run: its key belongs to an account, or it needs none.
+        `route` is null if the request has no route. */
+    [[nodiscard]] access_result check_access(const header_list& headers, const route_entry* route) const;
+
     /** Returns true if this node has not refused a request recently and no other node reports waiting
         requests. */
     [[nodiscard]] bool no_recent_refusals(instant now) const {
--- a/modules/berylcrank_gateway/flow/request_flow.cpp
+++ b/modules/berylcrank_gateway/flow/request_flow.cpp
@@ -32,7 +32,7 @@
                            std::shared_ptr<const route_entry> route, std::string service,
                            std::uint64_t number)
     : gateway_(owner), node_(node), caller_(std::move(caller)), route_(std::move(route)),
-      service_(std::move(service)), number_(number) {
+      service_(std::move(service)), number_(number), priority_(route_->priority) {
     if (const auto* id = find_header(caller_->head.headers, node_.wire.headers().request_id)) {
         id_ = *id;
     }
@@ -51,6 +51,9 @@
             self->on_caller_disconnected();
         }
     };
+    if (refuse_without_access()) {
+        return;
+    }
     node_.receive_messages();
     const auto now = node_.time.now();
     node_.budget(service_).record_request(now);
@@ -59,7 +62,7 @@
         return;
     }
     const bool is_late = late(now);
-    const auto ahead = node_.waiting.ahead_of(service_, route_->priority, is_late);
+    const auto ahead = node_.waiting.ahead_of(service_, priority_, is_late);
     const auto picked = ahead == 0 ? pick() : upstream_pick{.any_usable = true};
     if (picked.it) {
         send(picked);
@@ -75,14 +78,18 @@
         refuse(picked.any_usable ? "no-room" : "no-upstream");
         return;
     }
+    wait_for_slot(is_late, decision.max_wait, now);
+}
+
+void request_flow::wait_for_slot(bool is_late, millis max_wait, instant now) {
     waiting_ = true;
     node_.waiting.push({.number = number_,
                         .service = service_,
-                        .priority = route_->priority,
+                        .priority = priority_,
                         .late = is_late,
-                        .expires_at = now + decision.max_wait,
+                        .expires_at = now + max_wait,
                         .queued_at = now});
-    gateway_.limit_queue(service_, decision.max_wait);
+    gateway_.limit_queue(service_, max_wait);
 }
 
 bool request_flow::late(instant now) const {
@@ -189,14 +196,16 @@
     const auto& names = node_.wire.headers();
     call_request it{.method = caller_->head.method, .target = caller_->head.target, .body = caller_->body};
     for (const auto& [name, value] : caller_->head.headers) {
-        if (!is_hop_by_hop_header(name) && !header_names_equal(name, names.timeout) &&
-            !header_names_equal(name, names.target_upstream)) {
+        if (is_forwarded_header(name)) {
             it.headers.emplace_back(name, value);
         }
     }
     it.headers.emplace_back(names.timeout,
                             absl::StrCat(std::max<std::int64_t>(1, (deadline_ - now).count())));
     it.headers.emplace_back(names.target_upstream, target.entry.id);
+    if (account_) {
+        it.headers.emplace_back(names.account, *account_);
+    }
     return serialize(it);
 }
 
--- a/modules/berylcrank_gateway/flow/request_flow.h
+++ b/modules/berylcrank_gateway/flow/request_flow.h
@@ -39,6 +39,10 @@
     /** Refuses a request that is known to crash upstreams. Returns whether it did. */
     bool refuse_if_suspect();
 
+    /** Responds 401 to a request that the active configuration does not allow, because its key has been
+        removed since it arrived. Returns whether it did. */
+    bool refuse_without_access();
+
     /** Refuses a request that the stop of the process would cut off. Returns whether it did. */
     bool refuse_if_stopping();
 
@@ -65,7 +69,13 @@
     [[nodiscard]] admission_inputs make_admission_inputs(instant now, std::size_t ahead) const;
     [[nodiscard]] bool start_limit_allows(const std::vector<upstream_ptr>& members, instant now) const;
     [[nodiscard]] bool stop_allows_send(instant now) const;
+    void wait_for_slot(bool is_late, millis max_wait, instant now);
     [[nodiscard]] bool may_retry(instant now);
+    /** Returns whether the active configuration allows the request, and updates its account and priority. A
+        request that is queued keeps its place. */
+    [[nodiscard]] bool has_access();
+    [[nodiscard]] bool is_forwarded_header(std::string_view name) const;
+    [[nodiscard]] std::string caller_identity() const;
     [[nodiscard]] std::size_t open_attempts() const;
     void cancel_others(const attempt& chosen);
     [[nodiscard]] hedge_inputs make_hedge_inputs(const attempt& open, instant now) const;
@@ -94,7 +104,11 @@
     std::uint64_t number_;
     std::string id_;
     instant deadline_;
-    millis waited_before_; // time that the caller had waited in earlier attempts
+    std::optional<std::string> account_;           // name of the caller's account
+    int priority_;                                 // of the account, otherwise of the route
+    std::optional<std::uint64_t> checked_version_; // configuration that allowed the request
+    bool hides_credentials_{false};                // a configuration with accounts was active
+    millis waited_before_;                         // time that the caller had waited in earlier attempts
     std::vector<std::shared_ptr<attempt>> attempts_;
     std::vector<std::uint32_t> tried_;
     attempt* streamed_attempt_{nullptr};         // the attempt whose response is being streamed to the caller
--- a/modules/berylcrank_gateway/flow/request_flow_end.cpp
+++ b/modules/berylcrank_gateway/flow/request_flow_end.cpp
@@ -18,9 +18,8 @@
 void request_flow::refuse(std::string_view reason, std::optional<millis> after) {
     const auto now = node_.time.now();
     if (!after) {
-        after =
-            retry_after(make_admission_inputs(now, node_.waiting.ahead_of(service_, route_->priority, true)),
-                        node_.options.admission);
+        after = retry_after(make_admission_inputs(now, node_.waiting.ahead_of(service_, priority_, true)),
+                            node_.options.admission);
         if (const auto pause_end = node_.upstreams.paused_until(service_, now)) {
             after = std::max(*after, *pause_end - now);
         }
@@ -41,7 +40,7 @@
 }
 
 bool request_flow::stop_allows_send(instant now) const {
-    const auto in = make_admission_inputs(now, node_.waiting.ahead_of(service_, route_->priority, false));
+    const auto in = make_admission_inputs(now, node_.waiting.ahead_of(service_, priority_, false));
     const auto wait = in.drained_per_second > 0
                           ? millis{1000} * (static_cast<double>(in.ahead) / in.drained_per_second)
                           : millis{};
@@ -86,7 +85,7 @@
     if (done_ || abandoned_) {
         return;
     }
-    if (waiting_ && refuse_if_stopping()) {
+    if (waiting_ && (refuse_without_access() || refuse_if_stopping())) {
         return;
     }
     if (streamed_attempt_ != nullptr) {
--- a/modules/berylcrank_gateway/flow/request_flow_retry.cpp
+++ b/modules/berylcrank_gateway/flow/request_flow_retry.cpp
@@ -72,7 +72,8 @@
 
 bool request_flow::may_retry(instant now) {
     if (caller_->disconnected() || deadline_ - now < min_time_for_retry ||
-        connect_failures_ > max_connect_failures || (gateway_.closing() && !stop_allows_send(now))) {
+        connect_failures_ > max_connect_failures || (gateway_.closing() && !stop_allows_send(now)) ||
+        !has_access()) {
         return false;
     }
     return sent_count_ == 0 || (sent_count_ < route_->max_attempts && suspicion_allows_retry());
@@ -83,6 +84,9 @@
     if (open_attempts() > 0) {
         return; // the other attempt may still succeed
     }
+    if (!may_have_run_ && refuse_without_access()) {
+        return;
+    }
     if (!may_retry(now)) {
         fallback();
         return;
--- a/modules/berylcrank_gateway/flow/request_flow_suspect.cpp
+++ b/modules/berylcrank_gateway/flow/request_flow_suspect.cpp
@@ -8,11 +8,12 @@
 request_suspicion& request_flow::suspicion() {
     if (!suspicion_) {
         const auto* host = find_header(caller_->head.headers, "Host");
+        const auto identity = caller_identity();
         suspicion_.emplace(node_.suspects,
                            fingerprints_of({.method = caller_->head.method,
                                             .host = host == nullptr ? std::string_view() : *host,
                                             .target = caller_->head.target,
-                                            .caller = caller_->caller,
+                                            .caller = identity,
                                             .body = caller_->body}));
     }
     return *suspicion_;
--- a/modules/berylcrank_gateway/node/gateway_node_records.cpp
+++ b/modules/berylcrank_gateway/node/gateway_node_records.cpp
@@ -94,7 +94,7 @@
         [&]() -> boost::leaf::result<void> {
             BOOST_LEAF_AUTO(config, node_.wire.read_config(it.value));
             const auto version = config.version;
-            if (node_.routes.apply(std::move(config))) {
+            if (node_.apply_config(std::move(config))) {
                 log_.line("config-applied").field("version", version).field("offset", it.offset).send();
             }
             return {};
--- a/modules/berylcrank_gateway/server/exchange.cpp
+++ b/modules/berylcrank_gateway/server/exchange.cpp
@@ -13,6 +13,8 @@
         return "OK";
     case 400:
         return "Bad Request";
+    case 401:
+        return "Unauthorized";
     case 404:
         return "Not Found";
     case 408:
