Test: a request whose key is removed is not sent again

Change: the worker stand-in refuses after its service time in the mode shed-late; platform_deployment can start a further worker. New case in gateway_account_test.

Evidence: with a program without the access checks of request_flow_retry.cpp, the request ran twice and got no 401; with only refuse_without_access() removed from retry_or, it was not sent again but got no 401 either.

--- a/standins/platform_worker/worker.cpp
+++ b/standins/platform_worker/worker.cpp
@@ -244,6 +244,10 @@
         it.from->socket.close();
         return;
     }
+    if (mode == "shed-late") {
+        shed(it.from, it.head);
+        return;
+    }
     if (mode == "error") {
         send(it.from, response(it.head, 500, signature, "failed"));
         return;
--- a/standins/platform_worker/worker.h
+++ b/standins/platform_worker/worker.h
@@ -29,9 +29,9 @@
     std::string hang_target;  ///< Target of requests that stop the process, which keeps its connections.
     std::string
         retry_after; ///< Whole seconds of `Retry-After` in responses to shed requests; empty leaves it out.
-    /** good, shed, shed-again, shed-again-unnamed, error, reset, truncate, unframed, unframed-reset, extra,
-       late, late-unnamed, unsigned, mute, slow-head, endless-head, endless-body, endless-chunk, endless-shed,
-       endless-health or status-000. */
+    /** good, shed, shed-late (after the service time), shed-again, shed-again-unnamed, error, reset,
+       truncate, unframed, unframed-reset, extra, late, late-unnamed, unsigned, mute, slow-head, endless-head,
+       endless-body, endless-chunk, endless-shed, endless-health or status-000. */
     std::string mode{"good"};
 };
 
--- a/tests/process/gateway_account_test.cpp
+++ b/tests/process/gateway_account_test.cpp
@@ -202,6 +202,21 @@
     CHECK(level("waiting_requests") == 1); // its key is still valid
 }
 
+// Guards against requests that are sent again although their key has been removed while they were at the
+// first upstream, which refused them.
+TEST_CASE_FIXTURE(gateway_account_fixture, "gateway, key removed, does not send a refused request again") {
+    auto& first = *subject.workers_of("lookups").front();
+    platform_deployment::configure_worker(first, "mode=shed-late&work=1000");
+    auto connection = raw_connection::to(node.front);
+    REQUIRE(connection.send(raw("removed", "key-beta-1", "/slow/a")));
+    wait_until("the request runs", [&] { return subject.execution_count("removed") == 1; });
+    subject.start_worker("lookups", 1); // takes what the first refuses
+    node.process->wait_line(R"("upstream":"i-lookups1")");
+    apply(2, alpha);
+    CHECK(connection.read_message().starts_with("HTTP/1.1 401"));
+    CHECK(subject.execution_count("removed") == 1);
+}
+
 // Guards against keys in the log and the metrics, which more people read than may use the accounts.
 TEST_CASE_FIXTURE(gateway_account_fixture, "gateway, requests and configurations with keys, logs no key") {
     CHECK(get("a", {bearer("key-alpha-1")}).status == 200);
--- a/tests/support/platform_deployment.h
+++ b/tests/support/platform_deployment.h
@@ -70,6 +70,10 @@
     /** Changes the behaviour of a worker, e.g. "mode=shed". */
     static void configure_worker(const platform_worker& worker, const std::string& settings);
 
+    /** Starts worker `n` of a service and writes its registration. `n` must differ from those of the
+        service's other workers, which are counted from 0. */
+    void start_worker(const std::string& service, int n);
+
     /** Starts a worker whose process has ended again, under its id and at its address. Its registration stays
         that of the run before. */
     static void restart_worker(platform_worker& worker);
@@ -103,8 +107,6 @@
     [[nodiscard]] std::vector<platform_worker*> workers_of(const std::string& service);
 
 private:
-    void start_worker(const std::string& service, int n);
-
     std::unique_ptr<child> store_;
     std::string store_address_;
     std::vector<platform_worker> workers_;
