Extend a running warm-up when a registration states a longer one

An upstream that becomes cold again during its warm-up would get its full load at the end of the earlier warm-up.

Cause: upstream_directory::apply() used warmup-left-s of a registration of the same start only if the upstream was warm by then.

Change: a registration extends a running warm-up and never shortens it. An extension beyond 0.25 s, the delay of a registration that only repeats the remaining time, is a change that other nodes receive.

--- a/modules/berylcrank_balance/catalog/upstream_directory.cpp
+++ b/modules/berylcrank_balance/catalog/upstream_directory.cpp
@@ -31,9 +31,10 @@
         existing->entry = entry;
         existing->leaving = entry.draining || existing->announced_leave;
         existing->lapsed = false;
-        if (entry.cold_left > millis{} && existing->cold_until < now) {
+        if (entry.cold_left > millis{} && existing->cold_until < now + entry.cold_left) {
+            changed = changed || existing->cold_until < now ||
+                      existing->cold_until + cold_delay < now + entry.cold_left;
             set_cold(*existing, entry.cold_left, now);
-            changed = true;
         }
         return changed ? existing : nullptr;
     }
--- a/modules/berylcrank_balance/catalog/upstream_directory.h
+++ b/modules/berylcrank_balance/catalog/upstream_directory.h
@@ -38,9 +38,14 @@
         two seconds. */
     static constexpr millis lapse_grace{1800};
 
+    /** Largest extension of a warm-up that is not a change: a registration that repeats the remaining time
+        arrives later than it was written. */
+    static constexpr millis cold_delay{250};
+
     /** Adds or updates a registration; registrations older than the stored one of the same id are ignored.
-        `warm_up` is the service's warm-up time, 0 if unknown. Returns the upstream if its address, state or
-        start changed, otherwise null. */
+        `warm_up` is the service's warm-up time, 0 if unknown. A registration of the same start extends a
+        running warm-up but does not shorten it. Returns the upstream if its address, state or start changed
+        or its warm-up was extended by more than `cold_delay`, otherwise null. */
     upstream_ptr apply(const upstream_entry& entry, millis warm_up, instant now);
 
     /** Removes a registration. `after_outage` states that the store was unreachable just before; the upstream
--- a/tests/balance/catalog_test.cpp
+++ b/tests/balance/catalog_test.cpp
@@ -150,6 +150,37 @@
     CHECK(subject.find("u")->cold_until == at(100) + warm_up);
 }
 
+// Guards against full load on an upstream that becomes cold again without a start while its last warm-up
+// runs.
+TEST_CASE_FIXTURE(directory_fixture,
+                  "upstream_directory, longer warm-up while one is running, is cold for the longer time") {
+    auto it = entry("u", 1000, 1);
+    it.cold_left = millis{1000};
+    subject.apply(it, warm_up, at(0));
+    it.sequence = 2;
+    it.cold_left = millis{3000};
+    CHECK(subject.apply(it, warm_up, at(500)) != nullptr); // other nodes must receive the record
+    CHECK(subject.find("u")->cold_until == at(3500));
+    CHECK(subject.find("u")->cold_updated_at == at(500)); // a probe from before does not end it
+}
+
+// Guards against an end of the warm-up by a late registration, and against registrations that only repeat the
+// remaining time and are passed on as changes.
+TEST_CASE_FIXTURE(directory_fixture,
+                  "upstream_directory, registration repeats the warm-up, is neither shortened nor a change") {
+    auto it = entry("u", 1000, 1);
+    it.cold_left = millis{3000};
+    subject.apply(it, warm_up, at(0));
+    it.sequence = 2;
+    it.cold_left = millis{1000};
+    CHECK(subject.apply(it, warm_up, at(500)) == nullptr);
+    CHECK(subject.find("u")->cold_until == at(3000));
+    it.sequence = 3;
+    it.cold_left = millis{2000};
+    CHECK(subject.apply(it, warm_up, at(1000) + upstream_directory::cold_delay) == nullptr);
+    CHECK(subject.find("u")->cold_until == at(3000) + upstream_directory::cold_delay);
+}
+
 // No new requests may be sent to an upstream that is draining or no longer registered.
 TEST_CASE_FIXTURE(directory_fixture, "upstream_directory, draining or removed, receives no request") {
     subject.apply(entry("u", 1000, 1), warm_up, at(0));
