Treat upstreams as cold after a pause until they are verified

Cause: the node kept the warm-up times from before the pause.

Change: after a pause, upstreams of services with warmup-per-s are cold for at least warmup-s, until a probe sent after the pause or a message read 0.1 s or more after it. The node probes unverified upstreams at once, and does not report their warm-up times. A registration does not end the time, since it may have been written before the upstream became cold. standin_platform_worker counts the largest number of requests in a second.

--- a/modules/berylcrank_balance/catalog/upstream_directory.cpp
+++ b/modules/berylcrank_balance/catalog/upstream_directory.cpp
@@ -152,6 +152,12 @@
 void upstream_directory::set_cold(upstream& it, millis remaining, instant when) {
     it.cold_until = when + remaining;
     it.cold_updated_at = when;
+    it.unverified = false;
+}
+
+void upstream_directory::set_unverified(upstream& it, millis warm_up, instant now) {
+    set_cold(it, std::max(warm_up, it.cold_until - now), now);
+    it.unverified = true;
 }
 
 bool upstream_directory::usable(const upstream& it) const {
--- a/modules/berylcrank_balance/catalog/upstream_directory.h
+++ b/modules/berylcrank_balance/catalog/upstream_directory.h
@@ -23,6 +23,7 @@
     instant lapsed_until;        ///< Time at which a lapsed upstream is removed.
     instant cold_until;          ///< End of the warm-up.
     instant cold_updated_at;     ///< Time of the last update of `cold_until`.
+    bool unverified{false};      ///< It counts as cold because nothing has been heard of it since a pause.
 };
 
 using upstream_ptr = std::shared_ptr<upstream>;
@@ -59,6 +60,10 @@
     /** Updates the remaining warm-up time of an upstream, as reported at the time `when`. */
     static void set_cold(upstream& it, millis remaining, instant when);
 
+    /** Makes an upstream cold for at least `warm_up` because it may have become cold unnoticed. Statements
+       from before `now` do not end this; the next set_cold() does. */
+    static void set_unverified(upstream& it, millis warm_up, instant now);
+
     /** Marks an upstream as leaving until its next start, whatever its registration says. Returns whether
         that is new. */
     bool announce_leave(upstream& it);
--- a/modules/berylcrank_gateway/flow/node_state.cpp
+++ b/modules/berylcrank_gateway/flow/node_state.cpp
@@ -66,6 +66,26 @@
     }
 }
 
+void node_state::on_resumed(instant now) {
+    membership_valid_from = now + peer_table::domain_timeout;
+    peer_warm_ups_valid_from = now + resume_read_time;
+    start.begin(now);
+    for (const auto& [name, service] : routes.services()) {
+        if (service->warm_up_per_second <= 0) {
+            continue;
+        }
+        for (const auto& it : upstreams.of_service(name)) {
+            upstream_directory::set_unverified(*it, service->warm_up, now);
+        }
+    }
+}
+
+void node_state::apply_peer_warm_up(upstream& it, millis remaining, instant now) const {
+    if (now >= peer_warm_ups_valid_from || now + remaining > it.cold_until) {
+        upstream_directory::set_cold(it, remaining, now);
+    }
+}
+
 bool node_state::has_survived(const upstream_loss& it) const {
     // The loss may be noticed when the upstream already runs again, e.g. at the request's deadline. So only
     // connections from before the send show that it has run all the time.
--- a/modules/berylcrank_gateway/flow/node_state.h
+++ b/modules/berylcrank_gateway/flow/node_state.h
@@ -23,6 +23,9 @@
         two. */
     static constexpr millis refusal_memory{3000};
 
+    /** Time after a pause in which the messages that arrived during the pause are read. */
+    static constexpr millis resume_read_time{100};
+
     /** Time for which messages to other nodes repeat an announced stop, since datagrams can be lost. */
     static constexpr millis leave_repeat_time{250};
 
@@ -60,6 +63,7 @@
     suspect_table suspects;                      // requests that may crash upstreams
     instant last_refusal;                        // when this node last refused a request
     instant membership_valid_from;               // until then, the view of the other nodes may be out of date
+    instant peer_warm_ups_valid_from;            // until then, messages may be from before a pause
     std::vector<std::uint32_t> announced_leaves; // upstreams that announced their stop to this node
     instant announced_leaves_until;              // until then, messages to other nodes contain them
     std::function<void()> receive_messages;      // updates the loads before an upstream is chosen
@@ -106,11 +110,14 @@
     [[nodiscard]] bool has_survived(const upstream_loss& it) const;
 
     /** Call this when the process continues after a pause, in which it received no messages. Until the other
-        nodes have been heard again, they seem to be gone and this node would take over their duties. */
-    void on_resumed(instant now) {
-        membership_valid_from = now + peer_table::domain_timeout;
-        start.begin(now);
-    }
+        nodes have been heard again, they seem to be gone and this node would take over their duties.
+        Upstreams with a limit while they are cold may have become cold: they are unverified until a probe or
+        another node states their warm-up time, at most for the service's warm-up time. */
+    void on_resumed(instant now);
+
+    /** Applies the remaining warm-up time that another node reports. Shortly after a pause, a shorter time
+       may be from before the pause and changes nothing. */
+    void apply_peer_warm_up(upstream& it, millis remaining, instant now) const;
 
     /** Applies what the headers of an upstream's response say about the upstream: its load, its stop, and the
         time for which a 503 response asks for no requests. `connected_at` is the start of the connection that
--- a/modules/berylcrank_gateway/flow/prober.cpp
+++ b/modules/berylcrank_gateway/flow/prober.cpp
@@ -57,8 +57,9 @@
         next_check_ = std::min(next_check_, state.next);
         return false;
     }
-    return it.paused_until <= now && now >= node_.membership_valid_from && node_.peers.owns(it.number, now) &&
-           node_.upstreams.usable(it);
+    const bool is_own =
+        it.unverified || (now >= node_.membership_valid_from && node_.peers.owns(it.number, now));
+    return it.paused_until <= now && is_own && node_.upstreams.usable(it);
 }
 
 void prober::probe_if_due(const upstream_ptr& it, const std::string& path, instant now) {
--- a/modules/berylcrank_gateway/flow/prober.h
+++ b/modules/berylcrank_gateway/flow/prober.h
@@ -24,7 +24,8 @@
         bool running{false};
     };
 
-    /** Returns true if a probe of an upstream is due and this node is responsible for it. */
+    /** Returns true if a probe of an upstream is due and this node is responsible for it, or its warm-up is
+        unverified. */
     bool is_due(const upstream& it, instant now);
     void check_upstreams(instant now);
     void probe_if_due(const upstream_ptr& it, const std::string& path, instant now);
--- a/modules/berylcrank_gateway/node/gateway_node_messages.cpp
+++ b/modules/berylcrank_gateway/node/gateway_node_messages.cpp
@@ -119,7 +119,7 @@
             update.report = load.report;
         }
         const auto target = node_.upstreams.find(number);
-        if (target && node_.is_responsible_for(*target, now)) {
+        if (target && !target->unverified && node_.is_responsible_for(*target, now)) {
             update.warm_up_left = std::max(millis{}, target->cold_until - now);
         }
         load.unsent = {};
@@ -280,7 +280,7 @@
             node_.loads.unreachable(update.upstream, now);
         }
         if (const auto target = node_.upstreams.find(update.upstream); target && update.warm_up_left) {
-            upstream_directory::set_cold(*target, *update.warm_up_left, now);
+            node_.apply_peer_warm_up(*target, *update.warm_up_left, now);
         }
     }
 }
--- a/standins/platform_worker/worker.cpp
+++ b/standins/platform_worker/worker.cpp
@@ -4,6 +4,7 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_replace.h>
 #include <absl/strings/str_split.h>
+#include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
@@ -94,15 +95,24 @@
     return list;
 }
 
+std::optional<std::string> worker::count_list(const std::string& target) const {
+    if (target == "/peak") {
+        return std::to_string(peak_);
+    }
+    if (target == "/received-in-pause") {
+        return std::to_string(received_in_pause_);
+    }
+    return target == "/runs" ? std::optional(run_list()) : std::nullopt;
+}
+
 void worker::handle_request(const connection_ptr& it, request_head head) {
     if (head.target.starts_with("/control")) {
         update_behaviour(head.target);
         send(it, response(head, 200, "", ""));
         return;
     }
-    if (head.target == "/runs" || head.target == "/received-in-pause") {
-        send(it, response(head, 200, "",
-                          head.target == "/runs" ? run_list() : std::to_string(received_in_pause_)));
+    if (const auto list = count_list(head.target)) {
+        send(it, response(head, 200, "", *list));
         return;
     }
     count_in_pause();
@@ -123,6 +133,7 @@
         send(it, response(head, 200, absl::StrCat("Instance-Id: ", behaviour_.id, "\r\n", cold), ""));
         return;
     }
+    count_arrival();
     if (behaviour_.mode.starts_with("shed-again") && sheds_again(it, head)) {
         return;
     }
@@ -139,6 +150,15 @@
     received_in_pause_ += now >= pause_from_ && now < pause_until_ ? 1 : 0;
 }
 
+void worker::count_arrival() {
+    const auto now = std::chrono::steady_clock::now();
+    arrivals_.push_back(now);
+    while (now - arrivals_.front() >= std::chrono::seconds(1)) {
+        arrivals_.pop_front();
+    }
+    peak_ = std::max(peak_, arrivals_.size());
+}
+
 void worker::shed(const connection_ptr& it, const request_head& head) {
     constexpr std::chrono::milliseconds pause_delay{500};
     int seconds = 0;
@@ -321,10 +341,12 @@
         } else if (int bytes = 0;
                    pair.first == "bytes" && absl::SimpleAtoi(pair.second, &bytes) && bytes >= 0) {
             behaviour_.body_bytes = static_cast<std::size_t>(bytes);
+        } else if (pair.first == "warm-up" && absl::SimpleAtoi(pair.second, &n)) {
+            behaviour_.warm_up_ms = n;
+            arrivals_.clear();
+            peak_ = 0;
         } else if (absl::SimpleAtoi(pair.second, &n)) {
-            (pair.first == "work"       ? behaviour_.work_ms
-             : pair.first == "slowness" ? behaviour_.slowness
-                                        : behaviour_.warm_up_ms) = n;
+            (pair.first == "work" ? behaviour_.work_ms : behaviour_.slowness) = n;
         }
     }
 }
--- a/standins/platform_worker/worker.h
+++ b/standins/platform_worker/worker.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace berylcrank::standin {
@@ -42,6 +43,8 @@
    changes its behaviour.
     - `GET /received-in-pause`: number of requests received, health checks included, between half a second
    after the first response with `Retry-After` and the end of the time that it stated.
+    - `GET /peak`: largest number of requests, without health checks, that arrived within a second since the
+   last change of the warm-up time. Refused requests count.
     - `GET /runs`: lists `id count` for each request that it has started.
     - `GET /healthz`: the health check.
 */
@@ -73,7 +76,10 @@
     bool sheds_again(const connection_ptr& it, const request_head& head);
     void send_slowly(const connection_ptr& it, const std::string& start);
     [[nodiscard]] std::string run_list() const;
+    // Returns the response to a request for counts; none if the target is another.
+    [[nodiscard]] std::optional<std::string> count_list(const std::string& target) const;
     void count_in_pause();
+    void count_arrival();
     void update_behaviour(const std::string& target);
     [[nodiscard]] std::string response(const request_head& head, int status, const std::string& more,
                                        const std::string& body) const;
@@ -86,6 +92,8 @@
     int running_{0};
     std::map<std::string, int> runs_;
     int received_in_pause_{0};
+    std::deque<std::chrono::steady_clock::time_point> arrivals_; // of the last second
+    std::size_t peak_{0};
     std::chrono::steady_clock::time_point pause_from_;
     std::chrono::steady_clock::time_point pause_until_;
 };
--- a/tests/gateway/node_state_test.cpp
+++ b/tests/gateway/node_state_test.cpp
@@ -53,6 +53,57 @@
     CHECK(subject.may_send_to_cold(target(), heard));
 }
 
+// Guards against full load on an upstream that became cold while the process was paused: 364 requests in a
+// second, because the node knew only its state from before the pause.
+TEST_CASE_FIXTURE(node_state_fixture,
+                  "node_state, process continues after a pause, a warm upstream is cold until a probe") {
+    subject.apply_warm_up(target(), {}, at(1000), at(1010));
+    REQUIRE(target().cold_until == at(1010));
+    subject.on_resumed(at(9000));
+    CHECK(target().cold_until == at(9000 + 3000));
+    CHECK_FALSE(subject.may_send_to_cold(target(), at(9000)));
+    subject.apply_warm_up(target(), {}, at(1020), at(9001)); // sent before the pause
+    CHECK(target().cold_until == at(9000 + 3000));
+    subject.apply_warm_up(target(), {}, at(9001), at(9005));
+    CHECK(target().cold_until == at(9005));
+}
+
+// Guards against a shorter warm-up by a pause: an upstream that was cold before may have become cold again.
+TEST_CASE_FIXTURE(node_state_fixture,
+                  "node_state, process continues after a pause, a long warm-up remains as it was") {
+    REQUIRE(target().cold_until == at(60000));
+    subject.on_resumed(at(9000));
+    CHECK(target().cold_until == at(60000));
+}
+
+// Guards against messages that were received during the pause and state that an upstream is warm. Later
+// messages must end the wait, so that the cost to callers stays small.
+TEST_CASE_FIXTURE(
+    node_state_fixture,
+    "node_state, process continues after a pause, messages from the pause do not end a warm-up") {
+    subject.apply_warm_up(target(), {}, at(1000), at(1010));
+    subject.on_resumed(at(9000));
+    subject.apply_peer_warm_up(target(), millis{}, at(9001));
+    CHECK(target().cold_until == at(9000 + 3000));
+    subject.apply_peer_warm_up(target(), millis{5000}, at(9002));
+    CHECK(target().cold_until == at(9002 + 5000));
+    const auto read = at(9000) + node_state::resume_read_time;
+    subject.apply_peer_warm_up(target(), millis{}, read);
+    CHECK(target().cold_until == read);
+}
+
+// Guards against callers that wait after a pause although their service has no limit for cold upstreams.
+TEST_CASE_FIXTURE(
+    node_state_fixture,
+    "node_state, process continues after a pause, upstreams of services without a limit stay warm") {
+    deployment_config config{.version = 2};
+    config.services.push_back({.name = "s", .warm_up = millis{3000}});
+    subject.routes.apply(std::move(config));
+    subject.apply_warm_up(target(), {}, at(1000), at(1010));
+    subject.on_resumed(at(9000));
+    CHECK(target().cold_until == at(1010));
+}
+
 // Guards against a stopping node that admits requests to a cold upstream beside the node that replaces it.
 TEST_CASE_FIXTURE(node_state_fixture, "node_state, node stops, sends to no cold upstream") {
     subject.peers.set_ready(false, at(1000));
