Test of cold upstreams in a rolling restart of whole processes

Guards against more than two nodes that admit requests to a cold upstream while nodes stop and start in turn. Three nodes are replaced, each one while the ones before still answer callers, and the upstreams of a service come back cold. The workers count the requests in each second.

--- a/tests/process/gateway_cold_test.cpp
+++ b/tests/process/gateway_cold_test.cpp
@@ -17,6 +17,7 @@
     platform_deployment subject{3, 2};
     std::atomic<bool> is_sending{false};
     std::atomic<int> ids{0};
+    std::atomic<int> served{0};
     std::vector<std::thread> callers;
 
     ~gateway_cold_fixture() { stop_callers(); }
@@ -26,9 +27,13 @@
         is_sending = true;
         for (int k = 0; k < n; ++k) {
             callers.emplace_back([this, front] {
-                while (is_sending && platform_deployment::request({.front = front}, "GET", "/l/a",
-                                                                  "cold-" + std::to_string(++ids))
-                                         .is_connected) {
+                while (is_sending) {
+                    const auto response = platform_deployment::request({.front = front}, "GET", "/l/a",
+                                                                       "cold-" + std::to_string(++ids));
+                    served += response.status == 200 ? 1 : 0;
+                    if (!response.is_connected) {
+                        return;
+                    }
                 }
             });
         }
@@ -122,4 +127,36 @@
     }
 }
 
+// Guards against more than two nodes that admit to a cold upstream while nodes are stopped and started in
+// turn: a stopping node still answers callers when the next one stops.
+TEST_CASE_FIXTURE(
+    gateway_cold_fixture,
+    "gateway, nodes restart in turn while upstreams come back cold, limit holds in each second") {
+    constexpr std::size_t restarts = 3;
+    const auto workers = subject.workers_of("lookups");
+    cool_workers();
+    register_cold_start(*workers[0], 1000);
+    register_cold_start(*workers[1], 2000);
+    cool_workers(); // Counts from here.
+    for (const auto& it : subject.nodes()) {
+        start_callers(it.front, 4);
+    }
+    wait_until("callers are served", [&] { return served > 0; });
+    for (std::size_t n = 0; n < restarts; ++n) {
+        subject.nodes()[n].process->send(SIGTERM);
+        platform_deployment::wait_ready(subject.start_node());
+        start_callers(subject.nodes().back().front, 4);
+    }
+    for (std::size_t n = 0; n < restarts; ++n) {
+        CHECK(subject.nodes()[n].process->wait_exit(7000) == 0);
+    }
+    const int before = served;
+    wait_until("callers are served again", [&] { return served > before; });
+    stop_callers();
+    for (const auto* it : workers) {
+        CHECK(peak(*it) > 0);
+        CHECK(peak(*it) <= limit);
+    }
+}
+
 } // namespace berylcrank::testing
