--- a/tests/process/gateway_cold_test.cpp
+++ b/tests/process/gateway_cold_test.cpp
@@ -3,8 +3,9 @@
 #include <atomic>
 #include <csignal>
 #include <doctest/doctest.h>
-#include <functional>
+#include <stop_token>
 #include <thread>
+#include <vector>
 
 namespace berylcrank::testing {
 
@@ -15,19 +16,15 @@
 /** Three nodes whose upstreams become cold, and callers that send lookups without a break. */
 struct gateway_cold_fixture {
     platform_deployment subject{3, 2};
-    std::atomic<bool> is_sending{false};
     std::atomic<int> ids{0};
     std::atomic<int> served{0};
-    std::vector<std::thread> callers;
-
-    ~gateway_cold_fixture() { stop_callers(); }
+    std::vector<std::jthread> callers; // last, so that they end before what they use
 
     /** Starts callers that use the node at `front` until stop_callers() or until it accepts no connection. */
     void start_callers(const std::string& front, int n) {
-        is_sending = true;
         for (int k = 0; k < n; ++k) {
-            callers.emplace_back([this, front] {
-                while (is_sending) {
+            callers.emplace_back([this, front](const std::stop_token& stop) {
+                while (!stop.stop_requested()) {
                     const auto response = platform_deployment::request({.front = front}, "GET", "/l/a",
                                                                        "cold-" + std::to_string(++ids));
                     served += response.status == 200 ? 1 : 0;
@@ -40,9 +37,8 @@
     }
 
     void stop_callers() {
-        is_sending = false;
         for (auto& it : callers) {
-            it.join();
+            it.request_stop();
         }
         callers.clear();
     }
