--- a/modules/berylcrank_balance/catalog/upstream_directory.cpp
+++ b/modules/berylcrank_balance/catalog/upstream_directory.cpp
@@ -34,9 +34,10 @@
         existing->entry = entry;
         existing->leaving = entry.draining || existing->announced_leave;
         existing->lapsed = false;
-        if (entry.cold_left > millis{} && existing->cold_until < now) {
+        if (entry.cold_left > millis{} && existing->cold_until < now + entry.cold_left) {
+            changed = changed || existing->cold_until < now ||
+                      existing->cold_until + cold_delay < now + entry.cold_left;
             set_cold(*existing, entry.cold_left, now);
-            changed = true;
         }
         return changed ? existing : nullptr;
     }
@@ -169,6 +170,12 @@
 void upstream_directory::set_cold(upstream& it, millis remaining, instant when) {
     it.cold_until = when + remaining;
     it.cold_updated_at = when;
+    it.unverified = false;
+}
+
+void upstream_directory::set_unverified(upstream& it, millis warm_up, instant now) {
+    set_cold(it, std::max(warm_up, it.cold_until - now), now);
+    it.unverified = true;
 }
 
 bool upstream_directory::usable(const upstream& it) const {
--- a/modules/berylcrank_balance/catalog/upstream_directory.h
+++ b/modules/berylcrank_balance/catalog/upstream_directory.h
@@ -23,6 +23,7 @@
     instant lapsed_until;        ///< Time at which a lapsed upstream is removed.
     instant cold_until;          ///< End of the warm-up.
     instant cold_updated_at;     ///< Time of the last update of `cold_until`.
+    bool unverified{false};      ///< It counts as cold because nothing has been heard of it since a pause.
 };
 
 using upstream_ptr = std::shared_ptr<upstream>;
@@ -38,9 +39,14 @@
         two seconds. */
     static constexpr millis lapse_grace{1800};
 
+    /** Largest extension of a warm-up that is not a change: a registration that repeats the remaining time
+        arrives later than it was written. */
+    static constexpr millis cold_delay{250};
+
     /** Adds or updates a registration; registrations older than the stored one of the same id are ignored.
-        `warm_up` is the service's warm-up time, 0 if unknown. Returns the upstream if its address, state or
-        start changed, otherwise null. */
+        `warm_up` is the service's warm-up time, 0 if unknown. A registration of the same start extends a
+        running warm-up but does not shorten it. Returns the upstream if its address, state or start changed
+        or its warm-up was extended by more than `cold_delay`, otherwise null. */
     upstream_ptr apply(const upstream_entry& entry, millis warm_up, instant now);
 
     /** Removes a registration. `after_outage` states that the store was unreachable just before; the upstream
@@ -56,6 +62,10 @@
     /** Updates the remaining warm-up time of an upstream, as reported at the time `when`. */
     static void set_cold(upstream& it, millis remaining, instant when);
 
+    /** Makes an upstream cold for at least `warm_up` because it may have become cold unnoticed. Statements
+       from before `now` do not end this; the next set_cold() does. */
+    static void set_unverified(upstream& it, millis warm_up, instant now);
+
     /** Marks an upstream as leaving until its next start, whatever its registration says. Returns whether
         that is new. */
     bool announce_leave(upstream& it);
--- a/standins/platform_worker/worker.h
+++ b/standins/platform_worker/worker.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace berylcrank::standin {
@@ -44,6 +45,8 @@
    after the first response with `Retry-After` and the end of the time that it stated.
     - `GET /received-headers`: method, target and header of each of the last 256 requests received, health
    checks included; each ends with an empty line.
+    - `GET /peak`: largest number of requests, without health checks, that arrived within a second since the
+   last change of the warm-up time. Refused requests count.
     - `GET /runs`: lists `id count` for each request that it has started.
     - `GET /healthz`: the health check.
 */
@@ -80,6 +83,7 @@
     [[nodiscard]] std::string received_list() const;
     void record_received(const request_head& head);
     void count_in_pause();
+    void count_arrival();
     void update_behaviour(const std::string& target);
     [[nodiscard]] std::string response(const request_head& head, int status, const std::string& more,
                                        const std::string& body) const;
@@ -92,7 +96,9 @@
     int running_{0};
     std::map<std::string, int> runs_;
     int received_in_pause_{0};
-    std::deque<std::string> received_; // newest last
+    std::deque<std::string> received_;                           // newest last
+    std::deque<std::chrono::steady_clock::time_point> arrivals_; // of the last second
+    std::size_t peak_{0};
     std::chrono::steady_clock::time_point pause_from_;
     std::chrono::steady_clock::time_point pause_until_;
 };
