--- a/modules/berylcrank_gateway/node/gateway_node.h
+++ b/modules/berylcrank_gateway/node/gateway_node.h
@@ -74,6 +74,8 @@
     void send_to(const node_message& it, const std::vector<const peer*>& peers, instant now);
     void send_hello_to(const node_info& it, bool request_hello);
     void on_message(const node_message& it);
+    /** Updates the state of the sender. Returns false if the sender or its incarnation is unknown. */
+    bool update_sender(const node_message& it, instant now);
     void contact_new_nodes(const std::vector<node_info>& known, instant now);
     void apply_loads(const node_message& it, instant now);
     void on_newer_state(const peer& from, instant now);
--- a/modules/berylcrank_gateway/node/gateway_node_messages.cpp
+++ b/modules/berylcrank_gateway/node/gateway_node_messages.cpp
@@ -210,25 +210,28 @@
     }
 }
 
-void gateway_node::on_message(const node_message& it) {
-    const auto now = time_.now();
-    if (it.node == node_.peers.self_number()) {
-        return;
-    }
+bool gateway_node::update_sender(const node_message& it, instant now) {
     const roster_entry state{.number = it.node,
                              .incarnation = it.incarnation,
                              .beat = it.heartbeat,
                              .ready = it.ready,
                              .blind = it.store_unreachable};
-    if (it.self) {
-        if (node_.peers.on_hello(*it.self, state, now)) {
-            log_.line("peer-heard")
-                .field("peer", it.self->name)
-                .field("incarnation", it.self->incarnation)
-                .send();
-        }
-    } else if (!node_.peers.on_heartbeat(state, now)) {
-        return; // unknown node or incarnation: its next hello brings its address
+    if (!it.self) {
+        return node_.peers.on_heartbeat(state, now);
+    }
+    if (node_.peers.on_hello(*it.self, state, now)) {
+        log_.line("peer-heard")
+            .field("peer", it.self->name)
+            .field("incarnation", it.self->incarnation)
+            .send();
+    }
+    return true;
+}
+
+void gateway_node::on_message(const node_message& it) {
+    const auto now = time_.now();
+    if (it.node == node_.peers.self_number() || !update_sender(it, now)) {
+        return; // the next hello of an unknown node or incarnation brings its address
     }
     on_peer_heard(now);
     const bool has_unknown = node_.peers.merge_roster(it.roster, now);
