Limit the interim responses of a call

What callers saw: requests to an upstream that writes 100 Continue without end lasted until their deadline; an order got 504 there.

Cause: client_connection skipped interim responses without counting them, on requests and on health checks.

Change: more than 32 interim responses or 128 KiB of them fail the call as garbled and close the connection. The upstream counts as failing, as with other garbled responses. The worker stand-in gets two modes.

--- a/modules/berylcrank_gateway/client/client_connection.cpp
+++ b/modules/berylcrank_gateway/client/client_connection.cpp
@@ -166,10 +166,13 @@
             parser_ = std::make_unique<response_parser>();
             parser_->header_limit(header_limit);
             parser_->skip(call_->no_body);
+            head_bytes_ = 0;
         }
         boost::beast::error_code ec;
+        const bool in_head = !parser_->is_header_done();
         const auto used = parser_->feed(bytes, ec);
         bytes.remove_prefix(used);
+        head_bytes_ += in_head ? used : 0;
         if (ec) {
             error_ = ec.message();
             fail(call_->head_delivered ? call_failure::broken_off : call_failure::garbled);
@@ -195,7 +198,12 @@
     }
     if (!call_->head_delivered && !discarding_) {
         if (parser_->head.status < 200) {
-            discarding_ = true; // interim response
+            if (!count_interim_response()) {
+                error_ = "too many interim responses";
+                fail(call_failure::garbled);
+                return false;
+            }
+            discarding_ = true;
         } else {
             keep_alive_ = parse_keep_alive(parser_->head.headers);
             const auto action = call_->sink->on_head(parser_->head);
@@ -218,6 +226,12 @@
     return call_.has_value() && !closed_;
 }
 
+bool client_connection::count_interim_response() {
+    ++call_->interim_responses;
+    call_->interim_bytes += head_bytes_; // an interim response has no body
+    return call_->interim_responses <= max_interim_responses && call_->interim_bytes <= max_interim_bytes;
+}
+
 void client_connection::response_complete(bool bytes_left) {
     const bool stays_open = parser_->head.keep_alive && !may_have_body_to_come(*parser_);
     parser_.reset();
--- a/modules/berylcrank_gateway/client/client_connection.h
+++ b/modules/berylcrank_gateway/client/client_connection.h
@@ -58,6 +58,10 @@
     static constexpr millis unacknowledged_timeout{2500};
     /** Upper bound of the idle timeout that a server can state. */
     static constexpr millis max_keep_alive{3600000};
+    /** Interim responses of one call, above which the call fails as garbled. Upstreams send one or two. */
+    static constexpr int max_interim_responses = 32;
+    /** Bytes of the interim responses of one call, above which the call fails as garbled. */
+    static constexpr std::size_t max_interim_bytes = 131072;
 
     client_connection(boost::asio::io_context& io, boost::asio::ip::tcp::endpoint address, const clock& time)
         : socket_(io), address_(std::move(address)), time_(time), writer_(socket_) {}
@@ -103,6 +107,8 @@
         bool no_body{false};
         bool paused{false};
         bool head_delivered{false};
+        int interim_responses{0};
+        std::size_t interim_bytes{0};
     };
 
     void connect();
@@ -113,6 +119,8 @@
     void read_bytes();
     void consume(std::string_view bytes);
     bool notify_sink();
+    /** Counts the interim response in `parser_`. Returns false if the call has had more than allowed. */
+    bool count_interim_response();
     void response_complete(bool bytes_left);
     void fail(call_failure reason);
     void on_end_of_input(bool clean);
@@ -123,6 +131,7 @@
     const clock& time_;
     socket_writer writer_;
     std::unique_ptr<response_parser> parser_;
+    std::size_t head_bytes_{0}; // parsed of the response in `parser_` until its head was complete
     std::optional<call_state> call_;
     std::string request_;
     std::string error_;
--- a/standins/platform_worker/worker.cpp
+++ b/standins/platform_worker/worker.cpp
@@ -26,6 +26,8 @@
 
 namespace {
 
+constexpr const char* interim_response = "HTTP/1.1 100 Continue\r\n\r\n";
+
 std::string header(const request_head& head, const std::string& name) {
     const auto* it = find_header(head.headers, name);
     return it == nullptr ? std::string() : *it;
@@ -112,15 +114,8 @@
                           ""));
         return;
     }
-    if (head.target == "/healthz" && behaviour_.mode == "endless-health") {
-        send_endlessly(it, "HTTP/1.1 200 OK\r\n\r\n", "x");
-        return;
-    }
     if (head.target == "/healthz") {
-        const auto cold = behaviour_.warm_up_ms > 0
-                              ? absl::StrCat("Warmup-Ms: ", behaviour_.warm_up_ms, "\r\n")
-                              : std::string();
-        send(it, response(head, 200, absl::StrCat("Instance-Id: ", behaviour_.id, "\r\n", cold), ""));
+        answer_health_check(it, head);
         return;
     }
     if (behaviour_.mode.starts_with("shed-again") && sheds_again(it, head)) {
@@ -134,6 +129,20 @@
     start_next();
 }
 
+void worker::answer_health_check(const connection_ptr& it, const request_head& head) {
+    if (behaviour_.mode == "endless-health") {
+        send_endlessly(it, "HTTP/1.1 200 OK\r\n\r\n", "x");
+        return;
+    }
+    if (behaviour_.mode == "endless-interim-health") {
+        send_endlessly(it, "", interim_response);
+        return;
+    }
+    const auto cold = behaviour_.warm_up_ms > 0 ? absl::StrCat("Warmup-Ms: ", behaviour_.warm_up_ms, "\r\n")
+                                                : std::string();
+    send(it, response(head, 200, absl::StrCat("Instance-Id: ", behaviour_.id, "\r\n", cold), ""));
+}
+
 void worker::count_in_pause() {
     const auto now = std::chrono::steady_clock::now();
     received_in_pause_ += now >= pause_from_ && now < pause_until_ ? 1 : 0;
@@ -206,7 +215,7 @@
         send_slowly(it.from, "HTTP/1.1 200 OK\r\nFiller: ");
         return;
     }
-    if (mode.starts_with("endless") && mode != "endless-health") {
+    if (mode.starts_with("endless") && !mode.ends_with("health")) {
         finish_endlessly(it);
         return;
     }
@@ -266,6 +275,8 @@
         send_endlessly(it.from, start + "Filler: ", "x");
     } else if (mode == "endless-chunk") {
         send_endlessly(it.from, start + "Transfer-Encoding: chunked\r\n\r\n1;", "x");
+    } else if (mode == "endless-interim") {
+        send_endlessly(it.from, "", interim_response);
     } else if (mode == "endless-shed") {
         send_endlessly(it.from,
                        absl::StrCat("HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nRequest-Id: ",
--- a/standins/platform_worker/worker.h
+++ b/standins/platform_worker/worker.h
@@ -31,7 +31,7 @@
         retry_after; ///< Whole seconds of `Retry-After` in responses to shed requests; empty leaves it out.
     /** good, shed, shed-again, shed-again-unnamed, error, reset, truncate, unframed, unframed-reset, extra,
        late, late-unnamed, unsigned, mute, slow-head, endless-head, endless-body, endless-chunk, endless-shed,
-       endless-health or status-000. */
+       endless-health, endless-interim, endless-interim-health or status-000. */
     std::string mode{"good"};
 };
 
@@ -62,6 +62,7 @@
     void accept_next();
     void read(const connection_ptr& it);
     void handle_request(const connection_ptr& it, request_head head);
+    void answer_health_check(const connection_ptr& it, const request_head& head);
     void start_next();
     void run(const job& it);
     void finish(const job& it);
--- a/tests/process/gateway_upstream_test.cpp
+++ b/tests/process/gateway_upstream_test.cpp
@@ -59,6 +59,34 @@
     }
 }
 
+// Guards against interim responses without end, which are read until the deadline of the request.
+TEST_CASE_FIXTURE(
+    gateway_upstream_fixture,
+    "gateway, upstreams send interim responses without end, ends requests before the deadline") {
+    configure_workers("orders", "mode=endless-interim");
+    const auto order = subject.request(node(), "POST", "/o/a", "o-interim", "x");
+    CHECK(order.status == 502); // 504 at the deadline
+    CHECK(subject.execution_count("o-interim") == 1);
+    subject.configure_worker(*subject.workers_of("lookups")[0], "mode=endless-interim");
+    for (int n = 0; n < 4; ++n) {
+        const auto response = subject.request(node(), "GET", "/l/a", "l-interim-" + std::to_string(n));
+        CHECK(response.status == 200);
+        CHECK(response.body.size() == 100);
+    }
+}
+
+// Guards against the same in health checks, which are read until their timeout.
+TEST_CASE_FIXTURE(gateway_upstream_fixture,
+                  "gateway, health check sends interim responses without end, fails before its timeout") {
+    for (const auto& it : subject.workers()) {
+        subject.configure_worker(it, "mode=endless-interim-health");
+    }
+    wait_until("health checks have failed without a timeout", [&] {
+        return send({.address = node().control, .path = "/metrics"}).body.find("result=\"failed\"") !=
+               std::string::npos;
+    });
+}
+
 // Guards against a 503 response without Retry-After, and against one for an order that ran.
 TEST_CASE_FIXTURE(gateway_upstream_fixture,
                   "gateway, all upstreams shed an order, responds with 503 and does not run it") {
