End responses by the deadline and the upstream's silence

What callers saw: where an upstream went silent in the middle of a response, there was no final response for seconds after the deadline, although other upstreams were free. A streamed response was cut after 5 s without data although the caller and the route allowed more.

Cause: at the deadline a response whose head had arrived was forwarded and from then on ended only by stall_timeout (5 s). A request whose head had arrived was never hedged.

Before its deadline, a silent streamed response is kept; past it, 400 ms of silence end it. A response not passed on is forwarded at the deadline only if its upstream is not silent; a complete response of an earlier attempt takes precedence over the 504. A safe request whose upstream is silent in a response is hedged. A pause of reading for a slow caller does not count as silence.

--- a/modules/berylcrank_balance/choice/hedge_policy.cpp
+++ b/modules/berylcrank_balance/choice/hedge_policy.cpp
@@ -5,6 +5,9 @@
 namespace berylcrank {
 
 bool should_hedge(const hedge_inputs& in, const hedge_options& options) {
+    if (in.silent) {
+        return in.deadline_left > in.duration * options.hedge_duration_factor; // also if it is unknown
+    }
     if (in.duration <= millis{} || in.deadline_left <= in.duration * options.hedge_duration_factor) {
         return false;
     }
--- a/modules/berylcrank_balance/choice/hedge_policy.h
+++ b/modules/berylcrank_balance/choice/hedge_policy.h
@@ -4,12 +4,13 @@
 
 namespace berylcrank {
 
-/** State of a request that was sent to one upstream and has no response yet. */
+/** State of a request that was sent to one upstream and has no complete response yet. */
 struct hedge_inputs {
     millis running;          ///< Time since it was sent.
     millis duration;         ///< Median duration of such requests at an upstream of slowness 1; 0 if unknown.
     double slowness{1};      ///< Current slowness of the upstream.
     bool unreachable{false}; ///< The upstream was recently unreachable.
+    bool silent{false};      ///< The upstream has begun its response and gone silent.
     bool requests_queued{false}; ///< Requests are queued for the service; a hedge would take a slot from one.
     millis target_left;          ///< Time left to meet the latency target; negative if it is missed.
     millis deadline_left;        ///< Time until the deadline of the request.
--- a/modules/berylcrank_gateway/flow/attempt.h
+++ b/modules/berylcrank_gateway/flow/attempt.h
@@ -57,6 +57,10 @@
         periodically. */
     void check_connect_timeout(instant now);
 
+    /** Records that reading the response resumes, so that the pause does not count as silence of the
+        upstream. */
+    void on_reading_resumed() { last_activity_ = node_.time.now(); }
+
     [[nodiscard]] const upstream& target() const { return *target_; }
     [[nodiscard]] bool ended() const { return ended_; }
     [[nodiscard]] send_result result() const { return result_; }
@@ -69,6 +73,7 @@
     [[nodiscard]] std::uint64_t upstream_run() const { return upstream_run_; }
     [[nodiscard]] bool reached() const { return connection_ && connection_->connected(); }
     [[nodiscard]] instant started() const { return started_; }
+    /** When the last bytes of the response arrived, the request was sent or reading resumed. */
     [[nodiscard]] instant last_activity() const { return last_activity_; }
     /** Number of body bytes received. */
     [[nodiscard]] std::size_t received() const { return received_; }
--- a/modules/berylcrank_gateway/flow/gateway_options.h
+++ b/modules/berylcrank_gateway/flow/gateway_options.h
@@ -44,7 +44,9 @@
 
     millis connect_timeout{350};   ///< Of a connection to an upstream. Round trips take a few milliseconds.
     millis default_timeout{10000}; ///< Of a request if neither the caller nor the route sets a timeout.
-    millis stall_timeout{5000};    ///< Time without data after which a streamed response is aborted.
+    /** Time without data of a response after which its upstream counts as silent. It ends the response only
+        past the deadline of the request. */
+    millis silence_limit{400};
     std::size_t max_buffered_response_bytes{
         262144};                          ///< A smaller response is forwarded only when it is
                                           ///< complete, so that it can still be replaced by a retry.
--- a/modules/berylcrank_gateway/flow/request_flow.cpp
+++ b/modules/berylcrank_gateway/flow/request_flow.cpp
@@ -226,7 +226,12 @@
         return;
     }
     if (caller_->unsent_bytes() > node_.options.max_unsent_bytes) {
-        caller_->on_drained = it.connection()->pause_reading();
+        caller_->on_drained = [resume = it.connection()->pause_reading(), weak = it.weak_from_this()] {
+            if (const auto paused = weak.lock()) {
+                paused->on_reading_resumed();
+            }
+            resume();
+        };
     }
 }
 
@@ -307,21 +312,19 @@
     }
     if (it.head.status >= 500 && is_idempotent(route_->kind)) {
         may_have_run_ = true;
-        auto failed_attempt = std::static_pointer_cast<attempt>(it.shared_from_this());
-        retry_or(
-            [this, failed_attempt] {
-                begin_response(failed_attempt->head, failed_attempt->body.size());
-                caller_->append(failed_attempt->body);
-                caller_->finish();
-                finish("upstream-error", failed_attempt->head.status);
-            },
-            "upstream-error");
+        const auto failed_attempt = it.shared_from_this();
+        retry_or([this, failed_attempt] { deliver_whole(*failed_attempt, "upstream-error"); },
+                 "upstream-error");
         return;
     }
+    deliver_whole(it, "response");
+}
+
+void request_flow::deliver_whole(const attempt& it, std::string_view result) {
     begin_response(it.head, it.body.size());
     caller_->append(it.body);
     caller_->finish();
-    finish("response", it.head.status);
+    finish(result, it.head.status);
 }
 
 } // namespace berylcrank
--- a/modules/berylcrank_gateway/flow/request_flow.h
+++ b/modules/berylcrank_gateway/flow/request_flow.h
@@ -71,7 +71,12 @@
     [[nodiscard]] hedge_inputs make_hedge_inputs(const attempt& open, instant now) const;
     void hedge_if_due(instant now);
     void end_at_deadline(instant now);
-    /** Reports the upstreams that have not begun to respond when the time for it has passed. */
+    void end_if_silent(instant now);
+    /** Returns true if the upstream of an open attempt has sent nothing for the silence limit although this
+        node reads. */
+    [[nodiscard]] bool is_silent(const attempt& it, instant now) const;
+    /** Reports the upstreams that have not begun to respond, or have gone silent, when the time for it has
+        passed. */
     void report_unresponsive(instant now);
     void retry_or(const std::function<void()>& fallback, std::string_view reason);
     void log_attempt_end(const attempt& it);
@@ -80,6 +85,7 @@
     void report_crash_evidence(const attempt& it);
     void report_loss(const attempt& it, instant now);
     void deliver_response(attempt& it);
+    void deliver_whole(const attempt& it, std::string_view result);
     void begin_response(const response_head& head, std::optional<std::uint64_t> length);
     void fail(int status, std::string_view reason);
     void on_caller_disconnected();
--- a/modules/berylcrank_gateway/flow/request_flow_end.cpp
+++ b/modules/berylcrank_gateway/flow/request_flow_end.cpp
@@ -90,11 +90,7 @@
         return;
     }
     if (streamed_attempt_ != nullptr) {
-        if (now - streamed_attempt_->last_activity() > node_.options.stall_timeout &&
-            caller_->unsent_bytes() == 0) {
-            finish("stalled", streamed_attempt_->head.status);
-            caller_->abort();
-        }
+        end_if_silent(now);
         return;
     }
     if (now < deadline_) {
@@ -104,9 +100,23 @@
     end_at_deadline(now);
 }
 
+bool request_flow::is_silent(const attempt& it, instant now) const {
+    const bool waits_for_caller = streamed_attempt_ == &it && caller_->unsent_bytes() > 0;
+    return !waits_for_caller && now - it.last_activity() >= node_.options.silence_limit;
+}
+
+void request_flow::end_if_silent(instant now) {
+    if (now < deadline_ || !is_silent(*streamed_attempt_, now)) {
+        return;
+    }
+    node_.loads.outcome(streamed_attempt_->target().number, {.bad = 1}, now, true);
+    finish("stalled", streamed_attempt_->head.status);
+    caller_->abort();
+}
+
 void request_flow::end_at_deadline(instant now) {
     for (const auto& it : attempts_) {
-        if (!it->ended() && it->has_head && !it->not_run) {
+        if (!it->ended() && it->has_head && !it->not_run && !is_silent(*it, now)) {
             const auto keep = it;
             streamed_attempt_ = it.get(); // a response that has begun is forwarded even if it is late
             cancel_others(*keep);
@@ -117,16 +127,26 @@
     }
     if (sent_count_ == 0) {
         refuse("out-of-time");
+        return;
+    }
+    report_unresponsive(now);
+    const auto failed = std::find_if(attempts_.begin(), attempts_.end(),
+                                     [](const auto& it) { return it->complete && !it->not_run; });
+    if (failed != attempts_.end()) {
+        const auto keep = *failed;
+        deliver_whole(*keep, "upstream-error"); // no better response has arrived in time
     } else {
-        report_unresponsive(now);
         fail(504, "out-of-time");
     }
 }
 
 void request_flow::report_unresponsive(instant now) {
     for (const auto& it : attempts_) {
-        if (!it->ended() && !it->has_head) {
-            node_.loads.outcome(it->target().number, {.bad = 1}, now, true);
+        if (it->ended() || (it->has_head && !is_silent(*it, now))) {
+            continue;
+        }
+        node_.loads.outcome(it->target().number, {.bad = 1}, now, true);
+        if (!it->has_head) {
             report_loss(*it, now); // it may have crashed without closing its connections
         }
     }
--- a/modules/berylcrank_gateway/flow/request_flow_retry.cpp
+++ b/modules/berylcrank_gateway/flow/request_flow_retry.cpp
@@ -34,6 +34,7 @@
             .duration = in.duration,
             .slowness = load == nullptr ? 1 : load_tracker::slowness(*load, node_.loads.mean_slowness(), now),
             .unreachable = load != nullptr && load->down_until > now,
+            .silent = open.has_head && is_silent(open, now),
             .requests_queued =
                 node_.waiting.size() > 0 || node_.shares.has_remote_demand(service_number(service_), now),
             .target_left = target_time_left(in, node_.options.admission),
@@ -46,14 +47,14 @@
     }
     const auto open =
         *std::find_if(attempts_.begin(), attempts_.end(), [](const auto& it) { return !it->ended(); });
-    if (open->has_head) {
+    const auto state = make_hedge_inputs(*open, now);
+    if (open->has_head && !state.silent) {
         return;
     }
-    const auto state = make_hedge_inputs(*open, now);
     if (!should_hedge(state, node_.options.hedges)) {
         return;
     }
-    const auto picked = pick(!state.unreachable && state.target_left >= state.duration);
+    const auto picked = pick(!state.unreachable && !state.silent && state.target_left >= state.duration);
     if (!picked.it || !node_.budget(service_).take(node_.peers.max_known_count(), now)) {
         return;
     }
@@ -65,6 +66,7 @@
         .field("usual_ms", state.duration.count())
         .field("slowness", state.slowness)
         .field("unreachable", state.unreachable)
+        .field("silent", state.silent)
         .field("target_left_ms", state.target_left.count())
         .send();
     send(picked);
--- a/standins/platform_worker/worker.cpp
+++ b/standins/platform_worker/worker.cpp
@@ -4,6 +4,7 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_replace.h>
 #include <absl/strings/str_split.h>
+#include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
@@ -251,6 +252,8 @@
         send(it.from, stale + good);
     } else if (mode == "status-000") {
         send(it.from, absl::StrReplaceAll(good, {{"HTTP/1.1 200", "HTTP/1.1 000"}}));
+    } else if (mode == "pieces") {
+        send_pieces(it.from, good.substr(0, good.size() - body.size()), body);
     } else if (mode == "unsigned") {
         send(it.from, response(it.head, 200, "", body));
     } else {
@@ -287,6 +290,18 @@
     }
 }
 
+void worker::send_pieces(const connection_ptr& it, const std::string& start, const std::string& body) {
+    const auto n = std::min(body.size(), behaviour_.body_bytes / std::max(1, behaviour_.pieces) + 1);
+    it->writer.write(start + body.substr(0, n), it, [this, it, rest = body.substr(n)](bool ok) {
+        if (!ok || it->closed || rest.empty()) {
+            return;
+        }
+        auto timer =
+            std::make_shared<boost::asio::steady_timer>(io_, std::chrono::milliseconds(behaviour_.pause_ms));
+        timer->async_wait([this, it, timer, rest](const auto&) { send_pieces(it, "", rest); });
+    });
+}
+
 void worker::send_slowly(const connection_ptr& it, const std::string& start) {
     constexpr std::chrono::milliseconds interval{20};
     it->writer.write(start, it, [this, it, interval](bool ok) {
@@ -335,6 +350,8 @@
         } else if (absl::SimpleAtoi(pair.second, &n)) {
             (pair.first == "work"       ? behaviour_.work_ms
              : pair.first == "slowness" ? behaviour_.slowness
+             : pair.first == "pieces"   ? behaviour_.pieces
+             : pair.first == "pause"    ? behaviour_.pause_ms
                                         : behaviour_.warm_up_ms) = n;
         }
     }
--- a/standins/platform_worker/worker.h
+++ b/standins/platform_worker/worker.h
@@ -29,16 +29,18 @@
     std::string hang_target;  ///< Target of requests that stop the process, which keeps its connections.
     std::string
         retry_after; ///< Whole seconds of `Retry-After` in responses to shed requests; empty leaves it out.
+    int pieces{2};   ///< In the mode `pieces`: number of pieces in which a response body is sent.
+    int pause_ms{0}; ///< In the mode `pieces`: time between two pieces.
     /** good, shed, shed-again, shed-again-unnamed, error, reset, truncate, unframed, unframed-reset, extra,
        late, late-unnamed, unsigned, mute, slow-head, endless-head, endless-body, endless-chunk, endless-shed,
-       endless-health, endless-interim, endless-interim-health or status-000. */
+       endless-health, endless-interim, endless-interim-health, pieces or status-000. */
     std::string mode{"good"};
 };
 
 /** A worker of the platform. It runs requests in slots, sheds them when its queue is full and injects faults.
 
     - `POST
-   /control?mode=M&work=MS&slowness=N&warm-up=MS&bytes=N&leaving=1&retry-after=S&crash=TARGET&hang=TARGET`:
+   /control?mode=M&work=MS&slowness=N&warm-up=MS&bytes=N&leaving=1&retry-after=S&crash=TARGET&hang=TARGET&pieces=N&pause=MS`:
    changes its behaviour.
     - `GET /received-in-pause`: number of requests received, health checks included, between half a second
    after the first response with `Retry-After` and the end of the time that it stated.
@@ -70,6 +72,7 @@
     void send_endlessly(const connection_ptr& it, const std::string& start, const std::string& repeated);
     void finish_endlessly(const job& it);
     void finish_successfully(const job& it, const std::string& signature, const std::string& body);
+    void send_pieces(const connection_ptr& it, const std::string& start, const std::string& body);
     void shed(const connection_ptr& it, const request_head& head);
     bool sheds_again(const connection_ptr& it, const request_head& head);
     void send_slowly(const connection_ptr& it, const std::string& start);
--- a/tests/balance/hedge_test.cpp
+++ b/tests/balance/hedge_test.cpp
@@ -46,6 +46,18 @@
     CHECK_FALSE(due());
 }
 
+// Guards against a request that waits until its deadline for the rest of a response that does not come.
+TEST_CASE_FIXTURE(hedge_fixture, "should_hedge, upstream silent in a response, hedges if the time suffices") {
+    in.silent = true;
+    in.requests_queued = true;
+    CHECK(due());
+    in.duration = millis{}; // unknown, as for the first requests of a node
+    CHECK(due());
+    in.duration = millis{100};
+    in.deadline_left = millis{110}; // no time left for a hedge
+    CHECK_FALSE(due());
+}
+
 // A request must not wait until its deadline for an upstream that no longer responds.
 TEST_CASE_FIXTURE(hedge_fixture,
                   "should_hedge, upstream unreachable or unresponsive, hedges late requests too") {
