Remove an upstream whose registration has become unreadable

What callers saw: nodes that had read the former registration kept sending requests to the upstream; nodes that started later did not know it.

Cause: an unreadable record was counted and ignored, so the former record of its key stayed in use, and other nodes did not fetch it.

Evidence: gateway_trouble_test, new case, on the code before: a node used the upstream until the wait of 20 s ended, with the record "{".

Change: the upstream is removed until a readable registration of its key arrives, and the record counts as a change that other nodes fetch. The other registrations stay valid. An unreadable configuration leaves the one in force, as before.

--- a/modules/berylcrank_gateway/node/gateway_node.h
+++ b/modules/berylcrank_gateway/node/gateway_node.h
@@ -81,6 +81,8 @@
     bool apply_record(record_source source, const state_record& it, bool after_outage);
     bool apply_operator_record(const state_record& it);
     bool apply_upstream_record(const state_record& it, bool after_outage);
+    /** Removes an upstream whose latest registration cannot be read. Returns true, as for a change. */
+    bool drop_unreadable_upstream(const std::string& id, std::string_view reason);
     void check_stop(instant now);
     void report_memory(instant now);
     [[nodiscard]] bool ready() const;
--- a/modules/berylcrank_gateway/node/gateway_node_records.cpp
+++ b/modules/berylcrank_gateway/node/gateway_node_records.cpp
@@ -134,15 +134,15 @@
             }
             return changed != nullptr;
         },
-        [&](const std::string& reason) {
-            node_.metrics.count_event("unreadable-upstream");
-            log_.line("upstream-unreadable").field("upstream", it.key).field("reason", reason).send();
-            return false;
-        },
-        [&] {
-            node_.metrics.count_event("unreadable-upstream");
-            return false;
-        });
+        [&](const std::string& reason) { return drop_unreadable_upstream(it.key, reason); },
+        [&] { return drop_unreadable_upstream(it.key, "unknown"); });
+}
+
+bool gateway_node::drop_unreadable_upstream(const std::string& id, std::string_view reason) {
+    node_.metrics.count_event("unreadable-upstream");
+    log_.line("upstream-unreadable").field("upstream", id).field("reason", reason).send();
+    node_.upstreams.remove(id, false, time_.now());
+    return true; // other nodes may know the upstream by its former record
 }
 
 } // namespace berylcrank
--- a/tests/process/gateway_trouble_test.cpp
+++ b/tests/process/gateway_trouble_test.cpp
@@ -259,6 +259,44 @@
     CHECK(subject.execution_count("twice-1") == 1);
 }
 
+// Guards against nodes that differ on an upstream whose registration has become unreadable: those that have
+// read the former one used it, and those that started later did not.
+TEST_CASE_FIXTURE(gateway_trouble_fixture,
+                  "gateway, registration becomes unreadable, no node uses it until it is readable again") {
+    constexpr int lookups = 20;
+    auto& changed = *subject.workers_of("lookups")[0];
+    const auto entry = [&](const std::string& service, const std::string& state) {
+        return R"({"service":")" + service + R"(","address":")" + changed.address +
+               R"(","zone":"north","version":"v1","slots":4,"state":")" + state +
+               R"(","warmup-left-s":0,"sequence":3,"born":1700000000000})";
+    };
+    const auto uses = [&](std::size_t n) {
+        int used = 0;
+        for (int k = 0; k < lookups; ++k) {
+            used += served_by(n) == changed.id ? 1 : 0;
+        }
+        return used > 0;
+    };
+    for (const auto& value : {std::string("{"), std::string("{}"), entry("lookups", "asleep"),
+                              entry("unknown-service", "ready")}) {
+        CAPTURE(value);
+        subject.put_record("keyed.servers", changed.id, value);
+        for (std::size_t n = 0; n < subject.nodes().size(); ++n) {
+            wait_until("the node does not use the upstream", [&] { return !uses(n); });
+        }
+        subject.put_worker_record(changed, "ready", 7);
+        for (std::size_t n = 0; n < subject.nodes().size(); ++n) {
+            wait_until("the node uses the upstream again", [&] { return uses(n); });
+        }
+    }
+    subject.put_record("keyed.servers", changed.id, "{");
+    const auto& late = subject.start_node();
+    platform_deployment::wait_ready(late);
+    for (std::size_t n = 0; n < subject.nodes().size(); ++n) {
+        wait_until("the node does not use the upstream", [&] { return !uses(n); });
+    }
+}
+
 // Guards against a node that ends, or stops following the registrations, because of one odd record.
 TEST_CASE_FIXTURE(gateway_trouble_fixture,
                   "gateway, odd registrations and node records, keeps running and following") {
