Keep registrations of services that are not configured yet

What callers saw: if a service was configured after its upstream had registered, running nodes refused its requests until the upstream registered again; a node that read the registration first served them.

Cause: a registration of an unknown service was dropped by nodes that had a configuration and kept by those that did not have one yet.

Change: the registration is kept, and a request gets no upstream of a service that is not configured, whichever was read first.

--- a/modules/berylcrank_gateway/flow/request_flow.cpp
+++ b/modules/berylcrank_gateway/flow/request_flow.cpp
@@ -112,6 +112,9 @@
 }
 
 upstream_pick request_flow::pick(bool in_time_only) {
+    if (node_.routes.service(service_) == nullptr) {
+        return {}; // upstreams of a service that is not configured are known but not used
+    }
     const auto now = node_.time.now();
     const auto& members = node_.subset.of_service(service_, now);
     auto request = make_choice_request(members, now);
--- a/modules/berylcrank_gateway/node/gateway_node_records.cpp
+++ b/modules/berylcrank_gateway/node/gateway_node_records.cpp
@@ -118,9 +118,6 @@
         [&]() -> boost::leaf::result<bool> {
             BOOST_LEAF_AUTO(entry, node_.wire.read_upstream(it.key, it.value));
             const auto* service = node_.routes.service(entry.service);
-            if (service == nullptr && node_.routes.ready()) {
-                return boost::leaf::new_error(std::string("service is not configured"));
-            }
             const auto changed =
                 node_.upstreams.apply(entry, service == nullptr ? millis{} : service->warm_up, now);
             if (changed) {
--- a/tests/process/gateway_trouble_test.cpp
+++ b/tests/process/gateway_trouble_test.cpp
@@ -264,11 +264,12 @@
 TEST_CASE_FIXTURE(gateway_trouble_fixture,
                   "gateway, registration becomes unreadable, no node uses it until it is readable again") {
     constexpr int lookups = 20;
+    int sequence = 3; // rises with each record, as a lower one of the same start is ignored
     auto& changed = *subject.workers_of("lookups")[0];
     const auto entry = [&](const std::string& service, const std::string& state) {
         return R"({"service":")" + service + R"(","address":")" + changed.address +
                R"(","zone":"north","version":"v1","slots":4,"state":")" + state +
-               R"(","warmup-left-s":0,"sequence":3,"born":1700000000000})";
+               R"(","warmup-left-s":0,"sequence":)" + std::to_string(sequence) + R"(,"born":1700000000000})";
     };
     const auto uses = [&](std::size_t n) {
         int used = 0;
@@ -277,14 +278,17 @@
         }
         return used > 0;
     };
-    for (const auto& value : {std::string("{"), std::string("{}"), entry("lookups", "asleep"),
-                              entry("unknown-service", "ready")}) {
+    for (const std::string state : {"{", "{}", "asleep", "ready"}) {
+        ++sequence;
+        const auto value = state.starts_with("{") ? state
+                           : state == "ready"     ? entry("unknown-service", state)
+                                                  : entry("lookups", state);
         CAPTURE(value);
         subject.put_record("keyed.servers", changed.id, value);
         for (std::size_t n = 0; n < subject.nodes().size(); ++n) {
             wait_until("the node does not use the upstream", [&] { return !uses(n); });
         }
-        subject.put_worker_record(changed, "ready", 7);
+        subject.put_worker_record(changed, "ready", ++sequence);
         for (std::size_t n = 0; n < subject.nodes().size(); ++n) {
             wait_until("the node uses the upstream again", [&] { return uses(n); });
         }
@@ -297,6 +301,38 @@
     }
 }
 
+// Guards against nodes that differ on an upstream because they have read its registration before or after the
+// configuration that contains its service.
+TEST_CASE_FIXTURE(
+    gateway_trouble_fixture,
+    "gateway, service is configured after its upstream registered, all nodes use the upstream") {
+    const auto& moved = *subject.workers_of("lookups")[0];
+    subject.put_record("keyed.servers", moved.id,
+                       R"({"service":"later","address":")" + moved.address +
+                           R"(","zone":"north","version":"v1","slots":4,"state":"ready",)" +
+                           R"("warmup-left-s":0,"sequence":3,"born":1700000000000})");
+    for (std::size_t n = 0; n < subject.nodes().size(); ++n) {
+        int served = 0;
+        wait_until("the node has read the registration", [&] {
+            served = served_by(n) == moved.id ? 0 : served + 1;
+            return served == 20;
+        });
+    }
+    auto config = platform_deployment::config(
+        2, R"({"name":"later","path-prefix":"/later/","kind":"safe","timeout-s":2,"target-latency-s":0.5,)"
+           R"("max-attempts":2,"priority":1,"service":"later"},)");
+    const std::string services = R"("services":[)";
+    config.insert(config.find(services) + services.size(), R"({"name":"later","health-path":"/healthz"},)");
+    subject.put_operator_record("config", config);
+    const auto& late = subject.start_node();
+    platform_deployment::wait_ready(late);
+    for (const auto& it : subject.nodes()) {
+        wait_until("the node uses the upstream", [&] {
+            return subject.request(it, "GET", "/later/a", "t-" + std::to_string(++ids)).status == 200;
+        });
+    }
+}
+
 // Guards against a node that ends, or stops following the registrations, because of one odd record.
 TEST_CASE_FIXTURE(gateway_trouble_fixture,
                   "gateway, odd registrations and node records, keeps running and following") {
