--- a/modules/berylcrank_gateway/node/gateway_node.h
+++ b/modules/berylcrank_gateway/node/gateway_node.h
@@ -86,6 +86,8 @@
     bool apply_upstream_record(const state_record& it, bool after_outage);
     [[nodiscard]] bool keeps_record(record_source source, const state_record& known,
                                     const state_record& restored) const;
+    /** Removes an upstream whose latest registration cannot be read. Returns true, as for a change. */
+    bool drop_unreadable_upstream(const state_record& it, std::string_view reason);
     void check_stop(instant now);
     void report_memory(instant now);
     [[nodiscard]] bool ready() const;
--- a/modules/berylcrank_gateway/node/gateway_node_records.cpp
+++ b/modules/berylcrank_gateway/node/gateway_node_records.cpp
@@ -152,9 +152,6 @@
             BOOST_LEAF_AUTO(entry, node_.wire.read_upstream(it.key, it.value));
             entry.epoch = it.epoch;
             const auto* service = node_.routes.service(entry.service);
-            if (service == nullptr && node_.routes.ready()) {
-                return boost::leaf::new_error(std::string("service is not configured"));
-            }
             const auto changed =
                 node_.upstreams.apply(entry, service == nullptr ? millis{} : service->warm_up, now);
             if (changed) {
@@ -168,15 +165,15 @@
             }
             return changed != nullptr;
         },
-        [&](const std::string& reason) {
-            node_.metrics.count_event("unreadable-upstream");
-            log_.line("upstream-unreadable").field("upstream", it.key).field("reason", reason).send();
-            return false;
-        },
-        [&] {
-            node_.metrics.count_event("unreadable-upstream");
-            return false;
-        });
+        [&](const std::string& reason) { return drop_unreadable_upstream(it, reason); },
+        [&] { return drop_unreadable_upstream(it, "unknown"); });
+}
+
+bool gateway_node::drop_unreadable_upstream(const state_record& it, std::string_view reason) {
+    node_.metrics.count_event("unreadable-upstream");
+    log_.line("upstream-unreadable").field("upstream", it.key).field("reason", reason).send();
+    node_.upstreams.remove(it.key, false, time_.now(), it.epoch);
+    return true; // other nodes may know the upstream by its former record
 }
 
 } // namespace berylcrank
--- a/standins/platform_worker/worker.cpp
+++ b/standins/platform_worker/worker.cpp
@@ -28,6 +28,8 @@
 
 namespace {
 
+constexpr const char* interim_response = "HTTP/1.1 100 Continue\r\n\r\n";
+
 std::string header(const request_head& head, const std::string& name) {
     const auto* it = find_header(head.headers, name);
     return it == nullptr ? std::string() : *it;
@@ -144,15 +146,8 @@
                           ""));
         return;
     }
-    if (head.target == "/healthz" && behaviour_.mode == "endless-health") {
-        send_endlessly(it, "HTTP/1.1 200 OK\r\n\r\n", "x");
-        return;
-    }
     if (head.target == "/healthz") {
-        const auto cold = behaviour_.warm_up_ms > 0
-                              ? absl::StrCat("Warmup-Ms: ", behaviour_.warm_up_ms, "\r\n")
-                              : std::string();
-        send(it, response(head, 200, absl::StrCat("Instance-Id: ", behaviour_.id, "\r\n", cold), ""));
+        answer_health_check(it, head);
         return;
     }
     count_arrival();
@@ -167,6 +162,20 @@
     start_next();
 }
 
+void worker::answer_health_check(const connection_ptr& it, const request_head& head) {
+    if (behaviour_.mode == "endless-health") {
+        send_endlessly(it, "HTTP/1.1 200 OK\r\n\r\n", "x");
+        return;
+    }
+    if (behaviour_.mode == "endless-interim-health") {
+        send_endlessly(it, "", interim_response);
+        return;
+    }
+    const auto cold = behaviour_.warm_up_ms > 0 ? absl::StrCat("Warmup-Ms: ", behaviour_.warm_up_ms, "\r\n")
+                                                : std::string();
+    send(it, response(head, 200, absl::StrCat("Instance-Id: ", behaviour_.id, "\r\n", cold), ""));
+}
+
 void worker::count_in_pause() {
     const auto now = std::chrono::steady_clock::now();
     received_in_pause_ += now >= pause_from_ && now < pause_until_ ? 1 : 0;
@@ -248,7 +257,7 @@
         send_slowly(it.from, "HTTP/1.1 200 OK\r\nFiller: ");
         return;
     }
-    if (mode.starts_with("endless") && mode != "endless-health") {
+    if (mode.starts_with("endless") && !mode.ends_with("health")) {
         finish_endlessly(it);
         return;
     }
@@ -288,6 +297,8 @@
         send(it.from, stale + good);
     } else if (mode == "status-000") {
         send(it.from, absl::StrReplaceAll(good, {{"HTTP/1.1 200", "HTTP/1.1 000"}}));
+    } else if (mode == "pieces") {
+        send_pieces(it.from, good.substr(0, good.size() - body.size()), body);
     } else if (mode == "unsigned") {
         send(it.from, response(it.head, 200, "", body));
     } else {
@@ -312,6 +323,8 @@
         send_endlessly(it.from, start + "Filler: ", "x");
     } else if (mode == "endless-chunk") {
         send_endlessly(it.from, start + "Transfer-Encoding: chunked\r\n\r\n1;", "x");
+    } else if (mode == "endless-interim") {
+        send_endlessly(it.from, "", interim_response);
     } else if (mode == "endless-shed") {
         send_endlessly(it.from,
                        absl::StrCat("HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nRequest-Id: ",
@@ -322,6 +335,18 @@
     }
 }
 
+void worker::send_pieces(const connection_ptr& it, const std::string& start, const std::string& body) {
+    const auto n = std::min(body.size(), behaviour_.body_bytes / std::max(1, behaviour_.pieces) + 1);
+    it->writer.write(start + body.substr(0, n), it, [this, it, rest = body.substr(n)](bool ok) {
+        if (!ok || it->closed || rest.empty()) {
+            return;
+        }
+        auto timer =
+            std::make_shared<boost::asio::steady_timer>(io_, std::chrono::milliseconds(behaviour_.pause_ms));
+        timer->async_wait([this, it, timer, rest](const auto&) { send_pieces(it, "", rest); });
+    });
+}
+
 void worker::send_slowly(const connection_ptr& it, const std::string& start) {
     constexpr std::chrono::milliseconds interval{20};
     it->writer.write(start, it, [this, it, interval](bool ok) {
@@ -372,7 +397,10 @@
             arrivals_.clear();
             peak_ = 0;
         } else if (absl::SimpleAtoi(pair.second, &n)) {
-            (pair.first == "work" ? behaviour_.work_ms : behaviour_.slowness) = n;
+            (pair.first == "work"     ? behaviour_.work_ms
+             : pair.first == "pieces" ? behaviour_.pieces
+             : pair.first == "pause"  ? behaviour_.pause_ms
+                                      : behaviour_.slowness) = n;
         }
     }
 }
