Limit the connections of callers by limits.max-fds

What callers saw: connections of callers were not bounded. Clients that open connections and keep them could take all descriptors of a node, which then can connect to neither callers nor upstreams.

Cause: the listeners accepted every connection, and limits.max-fds was not read.

Evidence: with limits.max-fds=400 and 300 clients that send nothing, part of a head or part of a body, the new cases of gateway_crowd_test failed on the code before with 326 or 327 open descriptors; the bound is 200 (200 are for files).

Change: a connection_limit over all listeners allows callers half of limits.max-fds less 200, of which an eighth is reserved for readiness checks, operators and other nodes. For a new connection, the one that has been idle for the longest time is closed, otherwise the one whose input has stalled for the longest time (503, not run). If there is neither, it waits in the kernel's queue. Without limits.max-fds nothing is limited. A listener that is out of descriptors retries at the next tick instead of immediately.

Result: 113 or 114 open descriptors in these cases, in two runs of the plain build. gateway_test, adapter_test and gateway_crowd_test (all nine cases, once) pass.

--- a/modules/berylcrank_gateway/flow/gateway_options.h
+++ b/modules/berylcrank_gateway/flow/gateway_options.h
@@ -27,6 +27,8 @@
     double store_writes_per_second{0}; ///< Quota of the store for all nodes together; 0 if unknown.
 
     std::size_t memory_bytes{0}; ///< That the process may use; 0 if unknown, for no limit on requests.
+    /** That the process may have open; 0 if unknown, for no limit on connections of callers. */
+    std::size_t max_descriptors{0};
 
     choice_options choice;
     admission_options admission;
--- a/modules/berylcrank_gateway/node/gateway_node.cpp
+++ b/modules/berylcrank_gateway/node/gateway_node.cpp
@@ -53,7 +53,10 @@
           node_, follower_, [this] { return gossip_.unreadable(); }, [this] { return gateway_.active(); }),
       timer_(io), started_(time.now()), last_tick_(started_) {
     memory_ = std::make_shared<memory_account>(memory_account::options_for(options.memory_bytes));
-    const auto listen = [&](const std::string& address, request_handler& handler) -> http_listener* {
+    caller_connections_ =
+        std::make_shared<connection_limit>(connection_limit::options_for(options.max_descriptors));
+    const auto listen = [&](const std::string& address, request_handler& handler,
+                            bool uses_reserve) -> http_listener* {
         if (address.empty()) {
             return nullptr;
         }
@@ -61,15 +64,15 @@
             io, address,
             listener_context{time, handler,
                              [this]() -> const ingress_limits& { return node_.routes.limits(); }, memory_,
-                             wire.headers().retry_after}));
+                             wire.headers().retry_after, caller_connections_, uses_reserve}));
         return listeners_.back().get();
     };
     node_.receive_messages = [this] { receive_messages(); };
-    front_ = listen(options.front_address, gateway_);
-    listen(options.ready_address, ready_handler_);
-    listen(options.directory_address, directory_handler_);
-    listen(options.control_address, control_handler_);
-    listen(options.self.ip + ':' + std::to_string(options.self.gossip_port), state_handler_);
+    front_ = listen(options.front_address, gateway_, false);
+    listen(options.ready_address, ready_handler_, true);
+    listen(options.directory_address, directory_handler_, false);
+    listen(options.control_address, control_handler_, true);
+    listen(options.self.ip + ':' + std::to_string(options.self.gossip_port), state_handler_, true);
     if (is_large_deployment(options.store_writes_per_second)) {
         // A node that knew few others would take itself for one of a small deployment.
         node_.membership_valid_from = started_ + startup_settle_time;
@@ -127,11 +130,6 @@
 }
 
 void gateway_node::report_memory(instant now) {
-    std::size_t connections = 0;
-    for (const auto& it : listeners_) {
-        connections += it->connections();
-    }
-    node_.metrics.set_gauge("caller_connections", static_cast<double>(connections));
     node_.metrics.set_gauge("memory_charged_bytes", static_cast<double>(memory_->used()));
     node_.metrics.set_gauge("memory_refused", static_cast<double>(memory_->refused()));
     node_.metrics.set_gauge("memory_shed", static_cast<double>(memory_->shed()));
@@ -142,13 +140,29 @@
     if (memory_refusals_ == 0 || now - memory_short_at_ > shortage_end) {
         log_.line("memory-short")
             .field("charged_bytes", memory_->used())
-            .field("connections", connections)
+            .field("connections", caller_connections_->used())
             .send();
     }
     memory_refusals_ = refusals;
     memory_short_at_ = now;
 }
 
+void gateway_node::report_connections(instant now) {
+    const auto& it = *caller_connections_;
+    node_.metrics.set_gauge("caller_connections", static_cast<double>(it.used()));
+    node_.metrics.set_gauge("connections_closed_idle", static_cast<double>(it.closed_idle()));
+    node_.metrics.set_gauge("connections_closed_stalled", static_cast<double>(it.closed_stalled()));
+    const auto shortages = it.closed_idle() + it.closed_stalled() + it.waits();
+    if (shortages == connection_shortages_) {
+        return;
+    }
+    if (connection_shortages_ == 0 || now - connections_short_at_ > shortage_end) {
+        log_.line("connections-short").field("connections", it.used()).send();
+    }
+    connection_shortages_ = shortages;
+    connections_short_at_ = now;
+}
+
 void gateway_node::tick(instant now) {
     receive_messages();
     discover(now);
@@ -160,6 +174,9 @@
     prober_.tick(now);
     peer_client_.check_timeouts(now);
     gateway_.tick(now);
+    for (const auto& it : listeners_) {
+        it->retry_accept();
+    }
     if (now >= next_sweep_) {
         next_sweep_ = now + sweep_interval;
         const bool close_idle = stopping_ && now - stop_started_ > min_stop_time;
@@ -168,6 +185,7 @@
         }
         node_.connections.expire();
         report_memory(now);
+        report_connections(now);
     }
     if (ready() != was_ready_) {
         was_ready_ = ready();
--- a/modules/berylcrank_gateway/node/gateway_node.h
+++ b/modules/berylcrank_gateway/node/gateway_node.h
@@ -83,6 +83,7 @@
     bool apply_upstream_record(const state_record& it, bool after_outage);
     void check_stop(instant now);
     void report_memory(instant now);
+    void report_connections(instant now);
     [[nodiscard]] bool ready() const;
     [[nodiscard]] node_message message(instant now) const;
 
@@ -101,9 +102,12 @@
     state_handler state_handler_;
     control_handler control_handler_;
     std::vector<std::unique_ptr<http_listener>> listeners_;
-    std::shared_ptr<memory_account> memory_; // for requests on all listeners
-    instant memory_short_at_;                // when memory_ was last found short
-    std::size_t memory_refusals_{0};         // of memory_, until then
+    std::shared_ptr<memory_account> memory_;               // for requests on all listeners
+    std::shared_ptr<connection_limit> caller_connections_; // on all listeners
+    instant connections_short_at_;                         // when caller_connections_ was last reached
+    std::size_t connection_shortages_{0};                  // of caller_connections_, until then
+    instant memory_short_at_;                              // when memory_ was last found short
+    std::size_t memory_refusals_{0};                       // of memory_, until then
     http_listener* front_{nullptr};
     boost::asio::steady_timer timer_;
     instant started_;
--- a/modules/berylcrank_gateway/server/http_listener.cpp
+++ b/modules/berylcrank_gateway/server/http_listener.cpp
@@ -36,20 +36,45 @@
     acceptor_.set_option(boost::asio::ip::tcp::acceptor::reuse_address(true));
     acceptor_.bind(endpoint);
     acceptor_.listen(accept_backlog);
-    accept_next();
+    acceptor_.non_blocking(true);
+    wait_for_connection();
 }
 
-void http_listener::accept_next() {
-    acceptor_.async_accept([this](const auto& ec, boost::asio::ip::tcp::socket socket) {
-        if (!ec) {
-            add_connection(std::move(socket)); // may have been accepted just before the acceptor was closed
+// Takes one connection per event, so that room is made only for a connection that exists.
+void http_listener::wait_for_connection() {
+    acceptor_.async_wait(boost::asio::ip::tcp::acceptor::wait_read, [this](const auto& ec) {
+        if (ec || !acceptor_.is_open()) {
+            return;
         }
-        if (ec != boost::asio::error::operation_aborted && acceptor_.is_open()) {
-            accept_next();
+        accept_waits_ = !accept_one();
+        if (!accept_waits_) {
+            wait_for_connection();
         }
     });
 }
 
+// Returns false if there is no room or no descriptor for the connection.
+bool http_listener::accept_one() {
+    if (!context_.connections->make_room(context_.uses_reserve, context_.time.now())) {
+        return false;
+    }
+    boost::asio::ip::tcp::socket socket(acceptor_.get_executor());
+    boost::system::error_code ec;
+    acceptor_.accept(socket, ec);
+    if (!ec) {
+        add_connection(std::move(socket));
+    }
+    return ec != boost::asio::error::no_descriptors &&
+           ec != boost::system::errc::too_many_files_open_in_system;
+}
+
+void http_listener::retry_accept() {
+    if (accept_waits_ && acceptor_.is_open()) {
+        accept_waits_ = false;
+        wait_for_connection();
+    }
+}
+
 void http_listener::check_timeouts(instant now, bool close_idle) {
     for (std::size_t i = 0; i < connections_.size(); ++i) {
         const auto it = connections_[i];
@@ -61,8 +86,9 @@
 void http_listener::stop_accepting() {
     boost::system::error_code ec;
     acceptor_.cancel(ec);
-    acceptor_.non_blocking(true, ec);
-    while (acceptor_.is_open() && !ec) { // closing would reset the connections that wait to be accepted
+    // Closing resets the connections that wait to be accepted.
+    while (acceptor_.is_open() && !ec &&
+           context_.connections->make_room(context_.uses_reserve, context_.time.now())) {
         boost::asio::ip::tcp::socket socket(acceptor_.get_executor());
         acceptor_.accept(socket, ec);
         if (!ec) {
--- a/modules/berylcrank_gateway/server/http_listener.h
+++ b/modules/berylcrank_gateway/server/http_listener.h
@@ -8,7 +8,8 @@
 
 namespace berylcrank {
 
-/** Accepts connections at one address and passes their requests to a handler.
+/** Accepts connections at one address and passes their requests to a handler. Connections for which the
+    connection_limit has no room stay in the queue of the kernel.
 
     @see request_handler
 */
@@ -22,6 +23,9 @@
         connections. */
     void check_timeouts(instant now, bool close_idle);
 
+    /** Accepts connections that had to wait for room. Call this periodically. */
+    void retry_accept();
+
     /** Accepts the connections that are already established and then no more. Open connections stay open. */
     void stop_accepting();
 
@@ -33,12 +37,14 @@
     [[nodiscard]] std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
 
 private:
-    void accept_next();
+    void wait_for_connection();
+    bool accept_one();
     void add_connection(boost::asio::ip::tcp::socket socket);
 
     listener_context context_;
     boost::asio::ip::tcp::acceptor acceptor_;
     std::vector<std::shared_ptr<server_connection>> connections_; // those closed since the last check as well
+    bool accept_waits_{false};                                    // for room or for a descriptor
 };
 
 /** Parses "IP:PORT". Throws std::invalid_argument if the text is malformed. */
--- a/modules/berylcrank_gateway/server/server_connection.cpp
+++ b/modules/berylcrank_gateway/server/server_connection.cpp
@@ -36,14 +36,20 @@
 } // namespace
 
 server_connection::server_connection(boost::asio::ip::tcp::socket socket, listener_context& context)
-    : socket_(std::move(socket)), context_(context), writer_(socket_), caller_(address_of(socket_)),
-      input_charge_(context.memory, caller_, [this] { shed_input(); }), last_activity_(context.time.now()) {
+    : socket_(std::move(socket)), context_(context), limit_(context.connections), writer_(socket_),
+      caller_(address_of(socket_)), input_charge_(context.memory, caller_, [this] { shed_input(); }),
+      last_activity_(context.time.now()) {
     boost::system::error_code ec;
     socket_.non_blocking(true, ec);
     socket_.set_option(boost::asio::ip::tcp::no_delay(true), ec);
 }
 
+server_connection::~server_connection() {
+    limit_->remove(*this);
+}
+
 void server_connection::start() {
+    limit_->add(*this);
     wait_for_bytes();
 }
 
@@ -280,6 +286,7 @@
         return;
     }
     open_ = false;
+    limit_->remove(*this);
     const auto self = shared_from_this();
     boost::system::error_code ec;
     socket_.close(ec);
@@ -290,6 +297,12 @@
     }
 }
 
+void server_connection::refuse_and_close() {
+    const auto self = shared_from_this();
+    reject(503);
+    abort();
+}
+
 void server_connection::check_timeouts(instant now, bool close_idle) {
     if (!open_) {
         return;
--- a/modules/berylcrank_gateway/server/server_connection.h
+++ b/modules/berylcrank_gateway/server/server_connection.h
@@ -4,6 +4,7 @@
 #include "modules/berylcrank_core/time/clock.h"
 #include "modules/berylcrank_gateway/http/message_parser.h"
 #include "modules/berylcrank_gateway/http/socket_writer.h"
+#include "modules/berylcrank_gateway/server/connection_limit.h"
 #include "modules/berylcrank_gateway/server/exchange.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -23,6 +24,10 @@
     /** Limits the memory for requests of all connections of the node. */
     std::shared_ptr<memory_account> memory = std::make_shared<memory_account>(memory_account::options{});
     std::string retry_after = "Retry-After"; ///< Name of the header with the seconds until a retry.
+    /** Limits the connections of all listeners of the node. */
+    std::shared_ptr<connection_limit> connections =
+        std::make_shared<connection_limit>(connection_limit::options{});
+    bool uses_reserve{false}; ///< The listener may use the reserve of `connections`.
 };
 
 /** A connection of a caller. Passes pipelined requests to the handler as they arrive, without waiting for the
@@ -50,6 +55,9 @@
     static constexpr millis linger_time{1000};
 
     server_connection(boost::asio::ip::tcp::socket socket, listener_context& context);
+    ~server_connection();
+    server_connection(const server_connection&) = delete;
+    server_connection& operator=(const server_connection&) = delete;
 
     /** Starts reading requests. */
     void start();
@@ -60,6 +68,10 @@
     /** Closes the connection immediately and notifies its pending exchanges. */
     void abort();
 
+    /** Responds with status 503 to the request that is being received and closes the connection without
+        waiting for the caller. */
+    void refuse_and_close();
+
     /** Closes the connection, or responds with status 408, if a timeout of ingress_limits has passed. With
         `close_idle`, also closes a connection that is idle. Call this periodically. */
     void check_timeouts(instant now, bool close_idle);
@@ -69,6 +81,10 @@
     [[nodiscard]] bool idle() const {
         return pipeline_.empty() && !reading_message_ && writer_.pending() == 0;
     }
+    /** Returns true if a request is being read and no other one is processed. */
+    [[nodiscard]] bool input_incomplete() const { return reading_message_ && pipeline_.empty(); }
+    /** When bytes were last received or sent. */
+    [[nodiscard]] instant last_activity() const { return last_activity_; }
     /** Returns true if responses ask the caller to close the connection. */
     [[nodiscard]] bool closing() const { return context_.handler.closing(); }
     /** Number of bytes that the socket has not accepted yet. */
@@ -103,6 +119,8 @@
 
     boost::asio::ip::tcp::socket socket_;
     listener_context& context_;
+    std::shared_ptr<connection_limit>
+        limit_; // used after context_ if the event loop destroys the connection last
     socket_writer writer_;
     std::string caller_; // IP address
     std::unique_ptr<request_parser> parser_;
--- a/tests/adapter/platform_test.cpp
+++ b/tests/adapter/platform_test.cpp
@@ -177,7 +177,7 @@
     const std::string text =
         "node-name=n1\nip=10.0.0.1\nzone=north\ninternal-ports=7540,7555\nlisten.front=10.0.0.1:80\n"
         "seeds=10.0.0.2:81,10.0.0.3:81\nlimits.cpu-share=0.2\nlimits.cpu-cores=1\nlimits.memory-mb="
-        "260\nunknown=1\n"
+        "260\nlimits.max-fds=1200\nunknown=1\n"
         "bounds=grace-s=5,budget-window-s=8,retry-budget-burst=62,ttl_max_s=1\n"
         "platform.address=10.9.0.1:80\n";
     const auto it = read(text);
@@ -185,6 +185,7 @@
     CHECK(it->gateway.self.gossip_port == 7540);
     CHECK(it->gateway.self.capacity == 200);
     CHECK(it->gateway.memory_bytes == 260U * 1048576U);
+    CHECK(it->gateway.max_descriptors == 1200);
     CHECK(it->gateway.grace == millis{5000});
     CHECK(it->gateway.retries.window == millis{8000});
     CHECK(it->gateway.retries.burst == doctest::Approx(62));
@@ -196,6 +197,12 @@
         REQUIRE(other);
         CHECK(other->gateway.memory_bytes == 0);
     }
+    for (const auto* unusable : {"", "-1", "many", "inf", "nan", "1e300", "99999999999"}) { // no limit
+        const auto other = read(
+            with_replaced(text, "limits.max-fds=1200\n", std::string("limits.max-fds=") + unusable + "\n"));
+        REQUIRE(other);
+        CHECK(other->gateway.max_descriptors == 0);
+    }
     CHECK_FALSE(read(""));
     CHECK_FALSE(read(with_replaced(text, "platform.address=10.9.0.1:80\n", "")));
     CHECK_FALSE(read(with_replaced(text, "internal-ports=7540,7555\n", "")));
--- a/tests/process/gateway_crowd_test.cpp
+++ b/tests/process/gateway_crowd_test.cpp
@@ -20,6 +20,10 @@
 constexpr long memory_mb = 64;
 constexpr std::size_t max_descriptors = 300; // the clients' and those of a node without clients
 
+constexpr std::size_t connection_count = 300; // of clients that keep connections open
+constexpr std::size_t max_fds = 400;
+constexpr std::size_t file_descriptors = 200; // part of max_fds that is left to files
+
 std::string head(const std::string& framing) {
     return absl::StrCat("POST /o/a HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: crowd\r\n", framing,
                         "\r\n\r\n");
@@ -94,6 +98,36 @@
     }
 };
 
+/** A node whose descriptors do not suffice for the connections that clients open and keep. */
+struct gateway_descriptor_fixture {
+    platform_deployment subject{1, 1, 1, absl::StrCat("limits.max-fds=", max_fds, "\n")};
+    const platform_node& node{subject.nodes()[0]};
+    std::vector<raw_connection> clients;
+
+    [[nodiscard]] std::size_t descriptors() const {
+        const auto folder = absl::StrCat("/proc/", node.process->id(), "/fd");
+        const auto files = std::filesystem::directory_iterator(folder);
+        return static_cast<std::size_t>(std::distance(begin(files), end(files)));
+    }
+
+    // Sends `text` on each of many connections and keeps them open.
+    void open_all(const std::string& address, const std::string& text) {
+        for (std::size_t n = 0; n < connection_count; ++n) {
+            clients.push_back(raw_connection::to(address));
+            clients.back().send(text);
+        }
+    }
+
+    void check_node() {
+        // The node accepts this connection behind those of the clients.
+        CHECK(subject.request(node, "GET", "/l/a", "ordinary").status == 200);
+        const auto n = descriptors();
+        MESSAGE("open descriptors ", n);
+        CHECK(n <= max_fds - file_descriptors);
+        CHECK(kill(node.process->id(), 0) == 0);
+    }
+};
+
 } // namespace
 
 // Guards against a process that is killed because it keeps all bodies that clients send at once.
@@ -142,4 +176,40 @@
     CHECK(text.find("\"memory-short\"") == text.rfind("\"memory-short\""));
 }
 
+// Guards against connections that take all descriptors, so that upstreams and the store cannot be reached.
+TEST_CASE_FIXTURE(
+    gateway_descriptor_fixture,
+    "gateway, many idle connections, descriptors stay bounded and ordinary callers are served") {
+    open_all(node.front, "");
+    check_node();
+    const auto metrics = send({.address = node.control, .path = "/metrics"}).body;
+    CHECK(metrics.find("kind=\"connections_closed_idle\"") != std::string::npos);
+    CHECK(metrics.find("kind=\"connections_closed_stalled\"") != std::string::npos);
+    node.process->wait_line("\"event\":\"connections-short\"");
+}
+
+// Guards against connections that are never closed because their request has begun.
+TEST_CASE_FIXTURE(
+    gateway_descriptor_fixture,
+    "gateway, many incomplete heads, descriptors stay bounded and ordinary callers are served") {
+    open_all(node.front, "GET /l/a HTTP/1.1\r\nHost: shop.exam");
+    check_node();
+}
+
+// Guards against the same with requests that stop in their body.
+TEST_CASE_FIXTURE(
+    gateway_descriptor_fixture,
+    "gateway, many incomplete short bodies, descriptors stay bounded and ordinary callers are served") {
+    open_all(node.front, head("Content-Length: 1000") + std::string(990, 'x'));
+    check_node();
+}
+
+// Guards against a limit that holds only for the listener for callers' requests.
+TEST_CASE_FIXTURE(gateway_descriptor_fixture,
+                  "gateway, many idle connections to the directory, descriptors stay bounded") {
+    open_all(node.directory, "");
+    CHECK(send({.address = node.directory, .path = "/api/resolve"}).is_complete);
+    check_node();
+}
+
 } // namespace berylcrank::testing
