--- a/standins/platform_worker/worker.cpp
+++ b/standins/platform_worker/worker.cpp
@@ -378,29 +378,10 @@
     }
     for (const absl::string_view part : absl::StrSplit(absl::string_view(target).substr(at + 1), '&')) {
         const std::pair<std::string, std::string> pair = absl::StrSplit(part, absl::MaxSplits('=', 1));
-        int n = 0;
-        if (pair.first == "mode") {
-            behaviour_.mode = pair.second;
-        } else if (pair.first == "retry-after") {
-            behaviour_.retry_after = pair.second;
-        } else if (pair.first == "crash") {
-            behaviour_.crash_target = pair.second;
-        } else if (pair.first == "hang") {
-            behaviour_.hang_target = pair.second;
-        } else if (pair.first == "leaving") {
-            behaviour_.leaving = pair.second == "1";
-        } else if (int bytes = 0;
-                   pair.first == "bytes" && absl::SimpleAtoi(pair.second, &bytes) && bytes >= 0) {
-            behaviour_.body_bytes = static_cast<std::size_t>(bytes);
-        } else if (pair.first == "warm-up" && absl::SimpleAtoi(pair.second, &n)) {
-            behaviour_.warm_up_ms = n;
+        behaviour_.set(pair.first, pair.second);
+        if (pair.first == "warm-up") {
             arrivals_.clear();
             peak_ = 0;
-        } else if (absl::SimpleAtoi(pair.second, &n)) {
-            (pair.first == "work"     ? behaviour_.work_ms
-             : pair.first == "pieces" ? behaviour_.pieces
-             : pair.first == "pause"  ? behaviour_.pause_ms
-                                      : behaviour_.slowness) = n;
         }
     }
 }
--- a/tests/process/gateway_account_test.cpp
+++ b/tests/process/gateway_account_test.cpp
@@ -60,9 +60,7 @@
     }
 
     [[nodiscard]] double level(const std::string& kind) const {
-        const auto text = metrics();
-        const auto at = text.find("kind=\"" + kind + "\"} ");
-        return at == std::string::npos ? -1 : std::stod(text.substr(text.find(' ', at)));
+        return platform_deployment::level(node, kind);
     }
 
     [[nodiscard]] std::string metrics() const {
--- a/tests/process/gateway_cells_test.cpp
+++ b/tests/process/gateway_cells_test.cpp
@@ -32,12 +32,6 @@
             return !send({.address = it->address, .path = "/runs"}).is_connected;
         }));
     }
-
-    static double level(const platform_node& node, const std::string& kind) {
-        const auto text = send({.address = node.control, .path = "/metrics"}).body;
-        const auto at = text.find("kind=\"" + kind + "\"} ");
-        return at == std::string::npos ? -1 : std::stod(text.substr(text.find(' ', at)));
-    }
 };
 
 } // namespace
@@ -48,15 +42,17 @@
                   "gateway, order crashes an upstream at one node of each cell, is refused at all nodes") {
     constexpr int crashes_allowed = 3;
     for (auto& node : subject.nodes()) {
-        wait_until(node.name + " knows the others",
-                   [&] { return level(node, "live_nodes") >= static_cast<double>(subject.nodes().size()); });
+        wait_until(node.name + " knows the others", [&] {
+            return platform_deployment::level(node, "live_nodes") >=
+                   static_cast<double>(subject.nodes().size());
+        });
     }
     for (std::size_t n = 0; n < crashes_allowed; ++n) { // one in each failure domain but one
         CHECK(send_order(subject.nodes()[n], "/o/poison").status == 502);
-        const auto losses = level(subject.nodes()[n], "suspect_losses");
+        const auto losses = platform_deployment::level(subject.nodes()[n], "suspect_losses");
         for (auto& node : subject.nodes()) {
             wait_until(node.name + " has heard of the crash",
-                       [&] { return level(node, "suspect_losses") >= losses; });
+                       [&] { return platform_deployment::level(node, "suspect_losses") >= losses; });
         }
     }
     for (auto& node : subject.nodes()) {
--- a/tests/process/gateway_crash_test.cpp
+++ b/tests/process/gateway_crash_test.cpp
@@ -43,8 +43,8 @@
     // Waits until both nodes know the same losses, at least one.
     void wait_until_shared() {
         wait_until("the nodes have told each other", [&] {
-            const auto losses = level(subject.nodes()[0], "suspect_losses");
-            return losses > 0 && losses == level(subject.nodes()[1], "suspect_losses");
+            const auto losses = platform_deployment::level(subject.nodes()[0], "suspect_losses");
+            return losses > 0 && losses == platform_deployment::level(subject.nodes()[1], "suspect_losses");
         });
     }
 
@@ -55,13 +55,6 @@
         }));
     }
 
-    // Value of a metric of kind `kind`, or -1 if it is missing.
-    static double level(const platform_node& node, const std::string& kind) {
-        const auto text = send({.address = node.control, .path = "/metrics"}).body;
-        const auto at = text.find("kind=\"" + kind + "\"} ");
-        return at == std::string::npos ? -1 : std::stod(text.substr(text.find(' ', at)));
-    }
-
     // Number of successful health checks that a node has made.
     static double healthy_probes(const platform_node& node) {
         const auto text = send({.address = node.control, .path = "/metrics"}).body;
@@ -73,7 +66,8 @@
     // that node has probed it again on the same connection.
     void wait_for_steady_probes() {
         for (const auto& node : subject.nodes()) {
-            wait_until("the node knows the other", [&] { return level(node, "live_nodes") == 2; });
+            wait_until("the node knows the other",
+                       [&] { return platform_deployment::level(node, "live_nodes") == 2; });
         }
         std::vector<double> before;
         for (const auto& node : subject.nodes()) {
@@ -117,7 +111,7 @@
     for (int n = 0; n < 10; ++n) {
         CHECK(send_to(subject.nodes()[static_cast<std::size_t>(n) % 2], "GET", "/l/a").status == 200);
     }
-    CHECK(level(subject.nodes()[1], "suspect_false_refusals") <= 0);
+    CHECK(platform_deployment::level(subject.nodes()[1], "suspect_false_refusals") <= 0);
 }
 
 // Guards against a request that has its own crashes for each address that it comes from.
@@ -215,7 +209,8 @@
         const auto next = std::chrono::steady_clock::now() + crash_interval;
         wait_until("the nodes know of the crash", [&] {
             return std::ranges::all_of(subject.nodes(), [&](const auto& node) {
-                return level(node, "suspect_losses") >= 2 * killed; // two entries for each request
+                return platform_deployment::level(node, "suspect_losses") >=
+                       2 * killed; // two entries for each request
             });
         });
         wait_until("the next crash is clearly later",
@@ -272,7 +267,8 @@
     subject.stop_and_remove(0);
     const auto& started = subject.start_node();
     platform_deployment::wait_ready(started);
-    wait_until("the other node has told it", [&] { return level(started, "suspects") != 0; });
+    wait_until("the other node has told it",
+               [&] { return platform_deployment::level(started, "suspects") != 0; });
     CHECK(send_to(started, "GET", "/l/poison").status == 503);
     CHECK(crashed("lookups") == before);
 }
@@ -287,8 +283,9 @@
     }
     for (int n = 0; n <= crashes_allowed; ++n) {
         CHECK(send_to(subject.nodes().front(), "POST", "/o/a").status == 502);
-        wait_until("the upstream has responded to a probe",
-                   [&] { return level(subject.nodes().front(), "suspect_losses") <= 0; });
+        wait_until("the upstream has responded to a probe", [&] {
+            return platform_deployment::level(subject.nodes().front(), "suspect_losses") <= 0;
+        });
     }
     std::vector<std::thread> callers;
     std::vector<int> statuses(8);
--- a/tests/process/gateway_pipeline_test.cpp
+++ b/tests/process/gateway_pipeline_test.cpp
@@ -19,9 +19,7 @@
     }
 
     [[nodiscard]] double level(const std::string& kind) const {
-        const auto text = send({.address = node.control, .path = "/metrics"}).body;
-        const auto at = text.find("kind=\"" + kind + "\"} ");
-        return at == std::string::npos ? -1 : std::stod(text.substr(text.find(' ', at)));
+        return platform_deployment::level(node, kind);
     }
 };
 
--- a/tests/support/platform_deployment.cpp
+++ b/tests/support/platform_deployment.cpp
@@ -219,6 +219,12 @@
                  .body = body});
 }
 
+double platform_deployment::level(const platform_node& node, const std::string& kind) {
+    const auto text = send({.address = node.control, .path = "/metrics"}).body;
+    const auto at = text.find("kind=\"" + kind + "\"} ");
+    return at == std::string::npos ? -1 : std::stod(text.substr(text.find(' ', at)));
+}
+
 void platform_deployment::wait_ready(const platform_node& node) {
     constexpr int ready_timeout_ms = 2000;                 // After the node has logged that it is ready.
     node.process->wait_line("\"event\":\"ready\"", 20000); // A failure prints the node's log.
--- a/tests/support/platform_deployment.h
+++ b/tests/support/platform_deployment.h
@@ -106,6 +106,9 @@
                                  const std::string& path, const std::string& id,
                                  const std::string& body = "");
 
+    /** Returns the gauge of this kind in a node's metrics, or -1 if it is missing. */
+    static double level(const platform_node& node, const std::string& kind);
+
     /** Waits until a node has logged "ready" and its readiness check succeeds. */
     static void wait_ready(const platform_node& node);
 
