--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -220,6 +220,11 @@
         self.arrived = []       # (time, request id) of requests that reached this worker and were begun
         self.answer = None      # replaces the usual answer: (request id) -> (status, headers, body)
         self.beating = None
+        self.crashed = False
+        self.crashes_on = None  # target of a request that crashes the worker that begins to run it
+        self.back_after = 2.0
+        self.others = []
+        self.tasks = []
 
     def entry(self, sequence=None, state=None):
         return {"service": self.service, "address": self.address, "zone": self.zone, "version": "v1",
@@ -254,6 +259,25 @@
         for writer in list(self.open):
             writer.transport.abort()
 
+    async def crash(self, back_after, others):
+        """The process crashes, sends nothing more, and starts again under a new id."""
+        if self.beating.cancelled() or self.crashed:
+            return
+        self.crashed = True
+        self.beating.cancel()
+        self.end()
+        await asyncio.sleep(back_after)
+        successor = Worker(self.store, self.record, self.id + "'", self.service, self.zone, self.slots, self.work,
+                           self.body, self.heartbeat)
+        successor.answer = self.answer
+        successor.crashes_on = self.crashes_on
+        successor.back_after = self.back_after
+        successor.others = others
+        others.append(successor)
+        await successor.start()
+        await asyncio.sleep(max(0.0, 3 * self.heartbeat - back_after))
+        self.store.put("keyed.servers", self.id, None)  # three heartbeats of silence
+
     async def serve(self, reader, writer):
         self.open.add(writer)
         try:
@@ -302,6 +326,11 @@
             self.runs[request] = self.runs.get(request, 0) + 1
             self.arrived.append((time.monotonic(), request))
             self.record.line("%s runs %s (%s %s, %d bytes)" % (self.id, request, method, target, length))
+            if self.crashes_on is not None and target == self.crashes_on:
+                self.record.line("%s crashes; it was running %d requests" % (self.id, self.running))
+                self.tasks.append(asyncio.create_task(self.crash(self.back_after, self.others)))
+                self.running -= 1
+                return
             try:
                 await asyncio.sleep(self.work(request) if callable(self.work) else self.work)
             finally:
