--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -126,6 +126,7 @@
     def __init__(self):
         self.topics = {}
         self.delay = 0.004
+        self.down = set()  # topics whose partition is down; calls get 503, which means that nothing was done
 
     def topic(self, name):
         if name not in self.topics:
@@ -165,6 +166,8 @@
         path, _, query = target.partition("?")
         args = dict(part.partition("=")[::2] for part in query.split("&") if part)
         await asyncio.sleep(self.delay)
+        if args.get("topic") in self.down:
+            return 503, "application/json", b"{}"
         topic = self.topic(args.get("topic", ""))
         if path == "/api/log-append" and method == "POST":
             offset = len(topic.records)
@@ -218,6 +221,7 @@
         self.queue = 12
         self.runs = {}          # request id -> number of runs
         self.arrived = []       # (time, request id) of requests that reached this worker and were begun
+        self.reached = []       # the same of all requests for this worker, rejected ones too
         self.answer = None      # replaces the usual answer: (request id) -> (status, headers, body)
         self.beating = None
         self.crashed = False
@@ -225,10 +229,14 @@
         self.back_after = 2.0
         self.others = []
         self.tasks = []
+        self.cold_until = 0.0   # while cold, work takes twice as long
+
+    def cold_left(self):
+        return max(0.0, self.cold_until - time.monotonic())
 
     def entry(self, sequence=None, state=None):
         return {"service": self.service, "address": self.address, "zone": self.zone, "version": "v1",
-                "slots": self.slots, "state": state or self.state, "warmup-left-s": 0,
+                "slots": self.slots, "state": state or self.state, "warmup-left-s": round(self.cold_left(), 3),
                 "sequence": self.sequence if sequence is None else sequence, "born": self.born}
 
     def register(self):
@@ -314,8 +322,11 @@
             await self.send(writer, 421, [("Instance-Id", self.id)], b"", request)
             return
         if target == "/healthz":
-            await self.send(writer, 200 if self.state == "ready" else 503, [("Instance-Id", self.id)], b"", None)
+            cold = [("Warmup-Ms", "%d" % (1000 * self.cold_left()))] if self.cold_left() > 0 else []
+            await self.send(writer, 200 if self.state == "ready" else 503, [("Instance-Id", self.id)] + cold, b"",
+                            None)
             return
+        self.reached.append((time.monotonic(), request))
         if self.waiting >= self.queue:
             await self.send(writer, 503, [("Not-Executed", "1")], b"", request)
             return
@@ -332,7 +343,8 @@
                 self.running -= 1
                 return
             try:
-                await asyncio.sleep(self.work(request) if callable(self.work) else self.work)
+                usual = self.work(request) if callable(self.work) else self.work
+                await asyncio.sleep(usual * (2 if self.cold_left() > 0 else 1))
             finally:
                 self.running -= 1
         answer = self.answer(request) if self.answer else None
@@ -356,7 +368,7 @@
 
     ports = None
 
-    def __init__(self, folder, store, record, number, count, zone="halas"):
+    def __init__(self, folder, store, record, number, count, zone="halas", seeds=None):
         if Node.ports is None:
             Node.ports = [free_port() for _ in range(4)]
             Node.internal = free_port()
@@ -366,7 +378,8 @@
         front, ready, control, directory = Node.ports
         self.front = (self.ip, front)
         self.ready = (self.ip, ready)
-        seeds = ",".join("127.0.0.%d:%d" % (n + 2, control) for n in range(min(3, count)))
+        machines = ["127.0.0.%d" % (n + 2) for n in range(min(3, count))] if seeds is None else seeds
+        seeds = ",".join("%s:%d" % (it, control) for it in machines)
         self.name = "front-%s-%d" % (zone, number + 1)
         self.log_path = os.path.join(folder, self.name + ".log")
         self.settings = os.path.join(folder, self.name + ".conf")
