--- a/standins/platform_worker/worker.cpp
+++ b/standins/platform_worker/worker.cpp
@@ -69,6 +69,10 @@
             it->socket.close();
             return;
         }
+        if (behaviour_.mode == "early-reset" && it->parser->is_header_done() && !it->parser->is_done()) {
+            reset_early(it);
+            return;
+        }
         if (it->parser->is_done()) {
             auto head = std::move(it->parser->head);
             it->parser.reset();
@@ -274,6 +278,10 @@
         send(it.from, response(it.head, 500, signature, "failed"));
         return;
     }
+    if (mode == "ran-with-status") {
+        send(it.from, response(it.head, behaviour_.status, signature + "Retry-After: 0.1\r\n", body));
+        return;
+    }
     finish_successfully(it, signature, body);
 }
 
@@ -282,6 +290,10 @@
     const auto good = response(it.head, 200, signature, body);
     if (mode == "truncate") {
         send(it.from, good.substr(0, good.size() - 10), true);
+    } else if (mode == "cut-head") {
+        const auto unframed = absl::StrCat("HTTP/1.1 200 OK\r\nRequest-Id: ", header(it.head, "Request-Id"),
+                                           "\r\n", signature, "\r\n");
+        send(it.from, unframed.substr(0, static_cast<std::size_t>(behaviour_.cut)), true);
     } else if (mode == "unframed" || mode == "unframed-reset") {
         const auto unframed = absl::StrCat("HTTP/1.1 200 OK\r\nRequest-Id: ", header(it.head, "Request-Id"),
                                            "\r\n", signature, "\r\n", body);
@@ -306,6 +318,16 @@
     }
 }
 
+void worker::reset_early(const connection_ptr& it) {
+    ++runs_[header(it->parser->head, "Request-Id")];
+    it->socket.set_option(boost::asio::socket_base::linger(true, 0));
+    send(it,
+         absl::StrCat("HTTP/1.1 200 OK\r\nRequest-Id: ", header(it->parser->head, "Request-Id"),
+                      "\r\nServer-Signature: ", behaviour_.id, "\r\n\r\n",
+                      std::string(behaviour_.body_bytes, 'b')),
+         true);
+}
+
 void worker::send(const connection_ptr& it, const std::string& bytes, bool close) {
     it->writer.write(bytes, it, [it, close](bool) {
         if (close) {
--- a/standins/platform_worker/worker.h
+++ b/standins/platform_worker/worker.h
@@ -55,6 +55,8 @@
     void run(const job& it);
     void finish(const job& it);
     void send(const connection_ptr& it, const std::string& bytes, bool close = false);
+    /** Responds to a request whose body is still being received, and resets the connection. */
+    void reset_early(const connection_ptr& it);
     void send_endlessly(const connection_ptr& it, const std::string& start, const std::string& repeated);
     void finish_endlessly(const job& it);
     void finish_successfully(const job& it, const std::string& signature, const std::string& body);
--- a/standins/platform_worker/worker_behaviour.cpp
+++ b/standins/platform_worker/worker_behaviour.cpp
@@ -29,6 +29,10 @@
         pieces = n;
     } else if (name == "pause") {
         pause_ms = n;
+    } else if (name == "cut") {
+        cut = n;
+    } else if (name == "status") {
+        status = n;
     } else if (name == "slowness") {
         slowness = n;
     }
--- a/standins/platform_worker/worker_behaviour.h
+++ b/standins/platform_worker/worker_behaviour.h
@@ -22,10 +22,14 @@
         retry_after; ///< Whole seconds of `Retry-After` in responses to shed requests; empty leaves it out.
     int pieces{2};   ///< In the mode `pieces`: number of pieces in which a response body is sent.
     int pause_ms{0}; ///< In the mode `pieces`: time between two pieces.
-    /** good, shed, shed-late (after the service time), shed-again, shed-again-unnamed, error, reset,
-       truncate, unframed, unframed-reset, extra, late, late-unnamed, unsigned, mute, slow-head, endless-head,
-       endless-body, endless-chunk, endless-shed, endless-health, endless-interim, endless-interim-health,
-       pieces or status-000. */
+    int cut{0};      ///< In the mode `cut-head`: number of bytes that are sent.
+    int status{503}; ///< In the mode `ran-with-status`: status of the responses.
+    /** good, shed, shed-late (after the service time), shed-again, shed-again-unnamed, error,
+       ran-with-status (with Retry-After, and without a statement that the request did not run), reset,
+       early-reset (sends part of a body without a length and resets before it has read the request),
+       truncate, cut-head (closes within the head), unframed, unframed-reset, extra, late, late-unnamed,
+       unsigned, mute, slow-head, endless-head, endless-body, endless-chunk, endless-shed, endless-health,
+       endless-interim, endless-interim-health, pieces or status-000. */
     std::string mode{"good"};
 
     /** Changes the setting `name`; a number that cannot be parsed changes nothing. */
