Withhold an upstream's refusal status that does not state "not run"

What callers saw: a caller got 503 for an order that had run, took it as "not run", sent it again, and it ran twice.

Cause: request_flow forwarded every complete response to a request that must not run twice with its status. Callers take 408, 421, 429 and 503 as a statement that the request did not run; the upstream had not made it (no not_run header).

Ruled out: a refusal by the node. In a run of the case the nodes logged no "refused", and attempt-ended and answered with result response and status 503 for each such order. Log lines and counters told the two apart, none was missing.

Change: attempt withholds such a response from its owner and ends as unknown, like one that broke off. The caller gets 502 without headers (Retry-After, signature) or body of the upstream. As it is decided at the head, the whole, the streamed and the late path cannot forward it.

Looked at as well: 421 (always "not run"), not_run with other statuses, a refusal after an earlier attempt that may have run (502 already), idempotent requests (their callers may send again; response unchanged, now tested), refusals of server_connection (never passed on), the own interface (its verdict is a header of its own): sound.

Result: gateway_upstream_test "upstream runs an order and responds with a status that states not run" failed before in all nine combinations of 408, 429, 503 and bodies of 0, 100 and 400,000 bytes, and passes.

--- a/modules/berylcrank_gateway/flow/attempt.cpp
+++ b/modules/berylcrank_gateway/flow/attempt.cpp
@@ -8,12 +8,12 @@
 // upstream.
 constexpr double shed_weight = 0.3;
 
-constexpr std::size_t max_refusal_bytes = 65536; // of the body of a response that reports "not run"
+constexpr std::size_t max_refusal_bytes = 65536; // of the body of a response that is not forwarded
 
 } // namespace
 
-attempt::attempt(node_state& node, attempt_owner& owner, upstream_ptr target, std::string request_id)
-    : node_(node), owner_(&owner), target_(std::move(target)), request_id_(std::move(request_id)),
+attempt::attempt(node_state& node, attempt_owner& owner, upstream_ptr target, options opts)
+    : node_(node), owner_(&owner), target_(std::move(target)), options_(std::move(opts)),
       upstream_run_(target_->entry.start_time_ms), started_(node.time.now()), last_activity_(started_) {}
 
 void attempt::start(std::string request, bool no_body) {
@@ -38,11 +38,11 @@
 head_action attempt::classify(const response_head& it) const {
     const auto& names = node_.wire.headers();
     const auto* id = find_header(it.headers, names.request_id);
-    if (id != nullptr && *id != request_id_) {
+    if (id != nullptr && *id != options_.request_id) {
         return head_action::discard;
     }
     // Upstreams echo the id. Without it, the response may belong to an earlier request on the connection.
-    const bool is_unattributable = id == nullptr && !request_id_.empty();
+    const bool is_unattributable = id == nullptr && !options_.request_id.empty();
     const bool is_unsigned = it.status < 300 && find_header(it.headers, names.signature) == nullptr;
     return is_unattributable || is_unsigned ? head_action::reject : head_action::accept;
 }
@@ -56,7 +56,7 @@
         node_.metrics.count_event(action == head_action::discard ? "late-response-discarded"
                                                                  : "response-rejected");
         node_.log.line(action == head_action::discard ? "response-discarded" : "response-rejected")
-            .field("request", request_id_)
+            .field("request", options_.request_id)
             .field("upstream", target_->entry.id)
             .field("status", it.status)
             .field("bears", id == nullptr ? "" : *id)
@@ -68,13 +68,26 @@
     has_head = true;
     not_run = it.status == 421 ||
               (it.status >= 400 && find_header(it.headers, node_.wire.headers().not_run) != nullptr);
+    withheld = !not_run && !options_.is_idempotent && states_not_run(it.status);
+    if (withheld) {
+        log_withheld();
+    }
     return action;
 }
 
+void attempt::log_withheld() const {
+    node_.metrics.count_event("response-withheld");
+    node_.log.line("response-withheld")
+        .field("request", options_.request_id)
+        .field("upstream", target_->entry.id)
+        .field("status", head.status)
+        .send();
+}
+
 void attempt::on_body(std::string_view bytes) {
     last_activity_ = node_.time.now();
     received_ += bytes.size();
-    if (not_run) {
+    if (not_run || withheld) {
         if (received_ > max_refusal_bytes) { // the head is the answer; the body may never end
             connection_->cancel();
             on_done(false);
@@ -102,7 +115,7 @@
     }
     count_outcome(head.status < 500, 1);
     node_.loads.reachable(target_->number, connection_->connected_at(), node_.time.now());
-    end(send_result::response);
+    end(withheld ? send_result::unknown : send_result::response);
 }
 
 void attempt::on_failed(call_failure reason) {
@@ -135,7 +148,7 @@
 
 void attempt::log_unfinished(std::string_view event) const {
     node_.log.line(event)
-        .field("request", request_id_)
+        .field("request", options_.request_id)
         .field("upstream", target_->entry.id)
         .field("running_ms", (node_.time.now() - started_).count())
         .field("received", static_cast<std::uint64_t>(received_))
--- a/modules/berylcrank_gateway/flow/attempt.h
+++ b/modules/berylcrank_gateway/flow/attempt.h
@@ -12,9 +12,15 @@
 enum class send_result : std::uint8_t {
     response, ///< The upstream sent a complete response.
     not_run,  ///< The upstream reported that it did not run the request, or was never reached.
-    unknown,  ///< No complete response; the request may have run.
+    unknown,  ///< No complete response that may be forwarded; the request may have run.
 };
 
+/** Returns whether callers take a response with this status as a statement that the request did not run and
+    never will. */
+constexpr bool states_not_run(int status) {
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 /** Interface to the owner of attempts. */
 class attempt_owner {
 public:
@@ -37,7 +43,13 @@
 */
 class attempt final : public response_sink, public std::enable_shared_from_this<attempt> {
 public:
-    attempt(node_state& node, attempt_owner& owner, upstream_ptr target, std::string request_id);
+    /** Properties of the request that is sent. */
+    struct options {
+        std::string request_id;
+        bool is_idempotent{false};
+    };
+
+    attempt(node_state& node, attempt_owner& owner, upstream_ptr target, options opts);
 
     /** Sends the serialized request. */
     void start(std::string request, bool no_body);
@@ -67,7 +79,7 @@
     [[nodiscard]] call_failure failure() const { return failure_; }
     /** Returns true if the connection was lost after the request was sent and before a complete response. */
     [[nodiscard]] bool connection_lost() const {
-        return ended_ && result_ == send_result::unknown && failure_ != call_failure::garbled;
+        return ended_ && !complete && result_ == send_result::unknown && failure_ != call_failure::garbled;
     }
     /** Start time of the upstream when the request was sent. */
     [[nodiscard]] std::uint64_t upstream_run() const { return upstream_run_; }
@@ -79,23 +91,29 @@
     [[nodiscard]] std::size_t received() const { return received_; }
     [[nodiscard]] const client_connection_ptr& connection() const { return connection_; }
 
+    /** Returns true if the head of a response has arrived that may be forwarded to the caller. */
+    [[nodiscard]] bool has_forwardable_head() const { return has_head && !not_run && !withheld; }
+
     response_head head;                ///< Valid if `has_head`.
     std::string body;                  ///< Received bytes that the owner has not taken.
     std::optional<load_snapshot> load; ///< Load that the upstream reported in the response.
     bool has_head{false};
     bool not_run{false};  ///< The upstream reported that it did not run the request.
+    bool withheld{false}; ///< The status would tell the caller that the request did not run, but the upstream
+                          ///< does not report that, and the request must not run twice.
     bool complete{false}; ///< The whole response has arrived.
 
 private:
     /** Returns what to do with a response, by the request id and the signature that it carries. */
     [[nodiscard]] head_action classify(const response_head& it) const;
+    void log_withheld() const;
     void end(send_result result);
     void count_outcome(bool good, double weight);
 
     node_state& node_;
     attempt_owner* owner_;
     upstream_ptr target_;
-    std::string request_id_;
+    options options_;
     std::uint64_t upstream_run_;
     client_connection_ptr connection_;
     in_flight_slot slot_;
--- a/modules/berylcrank_gateway/flow/request_flow.cpp
+++ b/modules/berylcrank_gateway/flow/request_flow.cpp
@@ -190,7 +190,9 @@
         .field("report_age_ms", picked.report_age.count())
         .field("waited_ms", (now - caller_->received).count())
         .send();
-    auto it = std::make_shared<attempt>(node_, *this, picked.it, id_);
+    auto it = std::make_shared<attempt>(
+        node_, *this, picked.it,
+        attempt::options{.request_id = id_, .is_idempotent = is_idempotent(route_->kind)});
     attempts_.push_back(it);
     it->start(serialized(*picked.it, now), caller_->head.method == "HEAD");
 }
--- a/modules/berylcrank_gateway/flow/request_flow_end.cpp
+++ b/modules/berylcrank_gateway/flow/request_flow_end.cpp
@@ -115,7 +115,7 @@
 
 void request_flow::end_at_deadline(instant now) {
     for (const auto& it : attempts_) {
-        if (!it->ended() && it->has_head && !it->not_run && !is_silent(*it, now)) {
+        if (!it->ended() && it->has_forwardable_head() && !is_silent(*it, now)) {
             const auto keep = it;
             streamed_attempt_ = it.get(); // a response that has begun is forwarded even if it is late
             cancel_others(*keep);
@@ -129,8 +129,9 @@
         return;
     }
     report_unresponsive(now);
-    const auto failed = std::find_if(attempts_.begin(), attempts_.end(),
-                                     [](const auto& it) { return it->complete && !it->not_run; });
+    const auto failed = std::find_if(attempts_.begin(), attempts_.end(), [](const auto& it) {
+        return it->complete && it->has_forwardable_head();
+    });
     if (failed != attempts_.end()) {
         const auto keep = *failed;
         deliver_whole(*keep, "upstream-error"); // no better response has arrived in time
--- a/tests/process/gateway_upstream_test.cpp
+++ b/tests/process/gateway_upstream_test.cpp
@@ -97,6 +97,38 @@
     CHECK(subject.execution_count("o-shed") == 0);
 }
 
+// Guards against an order that ran and whose caller is told by the status that it did not, so that it sends
+// the order again and it runs twice.
+TEST_CASE_FIXTURE(
+    gateway_upstream_fixture,
+    "gateway, upstream runs an order and responds with a status that states not run, responds with 502") {
+    for (const int status : {408, 429, 503}) {
+        for (const int bytes : {0, 100, 400000}) { // the longest is streamed while it arrives
+            CAPTURE(status);
+            CAPTURE(bytes);
+            configure_workers("orders", "mode=ran-with-status&status=" + std::to_string(status) +
+                                            "&bytes=" + std::to_string(bytes));
+            const auto id = "o-ran-" + std::to_string(status) + '-' + std::to_string(bytes);
+            const auto response = subject.request(node(), "POST", "/o/a", id, "x");
+            CHECK(response.status == 502);
+            CHECK(response.header("Server-Signature").empty());
+            CHECK(response.header("Retry-After").empty());
+            CHECK(response.body.empty());
+            CHECK(subject.execution_count(id) == 1);
+        }
+    }
+}
+
+// Guards against a check that also withholds the response to a request that may run twice.
+TEST_CASE_FIXTURE(gateway_upstream_fixture,
+                  "gateway, all upstreams respond to a lookup with 503 of their own, forwards it unchanged") {
+    configure_workers("lookups", "mode=ran-with-status&status=503");
+    const auto response = subject.request(node(), "GET", "/l/a", "l-ran");
+    CHECK(response.status == 503);
+    CHECK_FALSE(response.header("Server-Signature").empty());
+    CHECK(response.body.size() == 100);
+}
+
 // Guards against an order that fails although another upstream would accept it.
 TEST_CASE_FIXTURE(gateway_upstream_fixture, "gateway, one upstream sheds an order, the other runs it once") {
     subject.configure_worker(*subject.workers_of("orders")[0], "mode=shed");
