Ignore writes that the store executes after newer ones or after a removal

What callers saw: an upstream whose registration had been removed got orders again until it ended, and some were lost by its exit.

Cause: the order of execution in the store was taken for the order of the writes. upstream_directory forgot start and sequence with a removal (except across epochs) and at the end of a lapse. record_table stored the late record in place of the removal, the draining or the newer configuration and gave it to other nodes, even where this node had ignored it.

Evidence: in the case, all nodes logged upstream-removed and then upstream-changed for the same upstream. Ruled out: a removal that some nodes missed (all logged it), a new start (same start time and address).

Change: the directory remembers registration_order (start, sequence) of the last 4,096 removals, the oldest forgotten first; an older registration is ignored. A record that a node ignores as older is superseded: record_table takes over its position and keeps the content, so that peers get what is in force. The same holds for an older configuration. Event superseded-record, log line record-superseded.

The handlers of record_table return record_effect in place of bool; the fixtures of three test files were adapted, their checks are unchanged. Rules for restored stores, unchanged registrations and new starts are as before.

Looked at as well: evacuations (no version to compare), announcements of nodes (only addresses to say hello to), the own interface's VM list and tickets: sound.

Result: failed before and pass: four directory cases of balance_test; two cases of gateway_store_test (a paused node never learned of the removal; it answered 404 for a route of the newer configuration).

--- a/modules/berylcrank_balance/catalog/record_table.cpp
+++ b/modules/berylcrank_balance/catalog/record_table.cpp
@@ -7,14 +7,22 @@
 
 void record_table::merge_record(const state_record& it) {
     auto& stored = records_[it.key];
-    if (!stored.record.key.empty() && stored.record.position() >= it.position()) {
+    const bool is_known = !stored.record.key.empty();
+    if (is_known && stored.record.position() >= it.position()) {
         return;
     }
-    stored.record = it;
-    const bool has_changed = changed_(it);
+    const auto effect = changed_(it);
+    if (effect != record_effect::superseded) {
+        stored.record = it;
+    } else if (is_known) {
+        stored.record.offset = it.offset;
+        stored.record.epoch = it.epoch;
+    } else {
+        stored.record = {.key = it.key, .offset = it.offset, .removed = true, .epoch = it.epoch};
+    }
     if (it.epoch != epoch_) {
         stored.changed_at = 0; // kept by another node; its offset belongs to an older epoch
-    } else if (has_changed) {
+    } else if (effect == record_effect::changed) {
         stored.changed_at = it.offset;
         changed_end_ = std::max(changed_end_, it.offset + 1);
     }
--- a/modules/berylcrank_balance/catalog/record_table.h
+++ b/modules/berylcrank_balance/catalog/record_table.h
@@ -20,7 +20,8 @@
 };
 
 /** The newest record of each key of one source. Records come from the store and from other nodes, in any
-    order and any number of times, and are merged by position.
+    order and any number of times, and are merged by position. A superseded record takes over the position but
+    not the content, so that other nodes are told what is in force.
 
     `end` is the offset up to which the table is complete. `confirmed` is the latest time at which a node that
     read the store found that `end` was the end of the store.
@@ -28,15 +29,14 @@
 */
 class record_table {
 public:
-    /** Called for each record that replaces the stored one. Returns whether the record changes the node's
-        view. Upstreams also rewrite their records unchanged as heartbeats. */
-    using change_handler = std::function<bool(const state_record&)>;
+    /** Called for each record that is newer in the store than the stored one. Returns what it does to the
+        node's view. */
+    using change_handler = std::function<record_effect(const state_record&)>;
 
     /** Returns whether a known record stays in place of the record that a restored store holds for its key,
         which is marked as removed if there is none. */
     using keep_handler = std::function<bool(const state_record& known, const state_record& restored)>;
 
-    /** `changed` is called for each record that replaces the stored one. */
     explicit record_table(change_handler changed, keep_handler keeps = {})
         : changed_(std::move(changed)), keeps_(std::move(keeps)) {}
 
--- a/modules/berylcrank_balance/catalog/state_record.h
+++ b/modules/berylcrank_balance/catalog/state_record.h
@@ -13,6 +13,13 @@
 };
 inline constexpr std::size_t record_source_count = 2;
 
+/** What a record does to the node's view of the deployment. */
+enum class record_effect : std::uint8_t {
+    changed,    ///< Changes the view.
+    unchanged,  ///< Repeats what is known, e.g. the heartbeat of an upstream.
+    superseded, ///< Is older than what is known, although the store has executed its write later.
+};
+
 /** Place of a record in a source. A store that is restored from a backup assigns offsets again and starts a
     new epoch, so positions are ordered by epoch first. */
 struct store_position {
--- a/modules/berylcrank_balance/catalog/upstream_directory.cpp
+++ b/modules/berylcrank_balance/catalog/upstream_directory.cpp
@@ -11,21 +11,13 @@
     return {it.data(), it.size()};
 }
 
-bool is_older(const upstream_entry& entry, const upstream_entry& existing) {
-    return entry.start_time_ms < existing.start_time_ms ||
-           (entry.start_time_ms == existing.start_time_ms && entry.sequence < existing.sequence);
-}
-
 } // namespace
 
 upstream_ptr upstream_directory::apply(const upstream_entry& entry, millis warm_up, instant now) {
-    const auto existing = find(entry.id);
-    if (existing && is_older(entry, existing->entry)) {
-        return nullptr;
-    }
-    if (!existing && departed_before(entry)) {
+    if (is_superseded(entry)) {
         return nullptr;
     }
+    const auto existing = find(entry.id);
     const bool same_start = existing && existing->entry.start_time_ms == entry.start_time_ms &&
                             existing->entry.address == entry.address &&
                             existing->entry.service == entry.service;
@@ -55,18 +47,38 @@
     return it;
 }
 
+bool upstream_directory::is_superseded(const upstream_entry& entry) const {
+    const auto existing = find(entry.id);
+    return existing ? entry.order() < existing->entry.order() : departed_before(entry);
+}
+
 void upstream_directory::remember_departure(const upstream_entry& last, std::uint64_t epoch, instant now) {
-    if (departures_.size() >= max_departures) {
-        absl::erase_if(departures_, [&](const auto& it) { return now - it.second.at > departure_memory; });
+    if (departures_.size() >= max_departures && !departures_.contains(last.id)) {
+        forget_oldest_departures(now);
     }
-    if (departures_.size() < max_departures) {
-        departures_[last.id] = {.last = last, .epoch = epoch, .at = now};
+    departures_[last.id] = {.last = last.order(), .epoch = epoch, .at = now};
+}
+
+void upstream_directory::forget_oldest_departures(instant now) {
+    absl::erase_if(departures_, [&](const auto& it) { return now - it.second.at > departure_memory; });
+    if (departures_.size() >= max_departures) {
+        departures_.erase(
+            std::min_element(departures_.begin(), departures_.end(),
+                             [](const auto& a, const auto& b) { return a.second.at < b.second.at; }));
     }
 }
 
 bool upstream_directory::departed_before(const upstream_entry& entry) const {
-    const auto it = departures_.find(entry.id);
-    return it != departures_.end() && entry.epoch > it->second.epoch && !is_older(it->second.last, entry);
+    const auto found = departures_.find(entry.id);
+    if (found == departures_.end()) {
+        return false;
+    }
+    const auto& it = found->second;
+    if (entry.epoch > it.epoch) {
+        return entry.order() <= it.last; // an unchanged one may be part of the backup
+    }
+    // Without a start time, a lower sequence may be that of a new start.
+    return entry.start_time_ms != 0 && entry.order() < it.last;
 }
 
 void upstream_directory::remove(std::string_view id, bool after_outage, instant now, std::uint64_t epoch) {
@@ -77,6 +89,7 @@
     if (after_outage && !it->entry.draining) {
         it->lapsed = true;
         it->lapsed_until = now + lapse_grace;
+        it->lapse_epoch = epoch;
         next_lapse_ = std::min(next_lapse_, it->lapsed_until);
         return;
     }
@@ -135,8 +148,10 @@
             next_lapse_ = std::min(next_lapse_, it->lapsed_until);
         }
     }
-    for (const auto& it : ended) {
-        drop(it);
+    for (const auto& id : ended) {
+        const auto it = find(id);
+        remember_departure(it->entry, it->lapse_epoch, now);
+        drop(id);
     }
 }
 
--- a/modules/berylcrank_balance/catalog/upstream_directory.h
+++ b/modules/berylcrank_balance/catalog/upstream_directory.h
@@ -21,9 +21,10 @@
     instant paused_until;        ///< It asked for no requests until then.
     bool lapsed{false};          ///< Its registration expired, perhaps only because the store was down.
     instant lapsed_until;        ///< Time at which a lapsed upstream is removed.
-    instant cold_until;          ///< End of the warm-up.
-    instant cold_updated_at;     ///< Time of the last update of `cold_until`.
-    bool unverified{false};      ///< It counts as cold because nothing has been heard of it since a pause.
+    std::uint64_t lapse_epoch{0}; ///< Epoch of the store in which its registration expired.
+    instant cold_until;           ///< End of the warm-up.
+    instant cold_updated_at;      ///< Time of the last update of `cold_until`.
+    bool unverified{false};       ///< It counts as cold because nothing has been heard of it since a pause.
 };
 
 using upstream_ptr = std::shared_ptr<upstream>;
@@ -43,16 +44,20 @@
         arrives later than it was written. */
     static constexpr millis cold_delay{250};
 
-    /** Adds or updates a registration; registrations older than the stored one of the same id are ignored.
-        `warm_up` is the service's warm-up time, 0 if unknown. A registration of the same start extends a
-        running warm-up but does not shorten it. Returns the upstream if its address, state or start changed
-        or its warm-up was extended by more than `cold_delay`, otherwise null. */
+    /** Adds or updates a registration, unless it is superseded. `warm_up` is the service's warm-up time, 0 if
+        unknown. A registration of the same start extends a running warm-up but does not shorten it. Returns
+        the upstream if its address, state or start changed or its warm-up was extended by more than
+        `cold_delay`, otherwise null. */
     upstream_ptr apply(const upstream_entry& entry, millis warm_up, instant now);
 
+    /** Returns whether a registration is older than the stored or the last removed one of the same id. The
+        store may execute a write seconds after it was sent. */
+    [[nodiscard]] bool is_superseded(const upstream_entry& entry) const;
+
     /** Removes a registration. `after_outage` states that the store was unreachable just before; the upstream
-        is then kept for `lapse_grace`, unless it is draining. `epoch` is that of the removal: a registration
-        of a later epoch must be newer than the removed one, since a backup of the store may still list the
-        upstream. */
+        is then kept for `lapse_grace`, unless it is draining. Registrations older than the removed one are
+        ignored from then on. `epoch` is that of the removal: a registration of a later epoch must be newer
+        than the removed one, since a backup of the store may still list the upstream. */
     void remove(std::string_view id, bool after_outage, instant now, std::uint64_t epoch = 0);
 
     /** Sets whether a failure domain is evacuated. When the evacuation ends, the upstreams of the domain are
@@ -94,20 +99,22 @@
     /** Number of announced leaves that are remembered after their upstreams have gone. */
     static constexpr std::size_t max_announced_leaves = 4096;
 
-    /** Number of removed registrations that are remembered. */
+    /** Number of removed registrations that are remembered; beyond it, the oldest is forgotten. */
     static constexpr std::size_t max_departures = 4096;
-    /** Time for which they are remembered at least, unless there are too many. A backup that is restored is
-        seconds old. */
+    /** Time after which they are forgotten if there are too many. It exceeds the age of late writes and of
+        backups, which are seconds old. */
     static constexpr millis departure_memory{600000};
 
     /** The last registration of an upstream that was removed. */
     struct departure {
-        upstream_entry last;
+        registration_order last;
         std::uint64_t epoch{0}; ///< Epoch of the store in which it was removed.
         instant at;
     };
 
     void remember_departure(const upstream_entry& last, std::uint64_t epoch, instant now);
+    void forget_oldest_departures(instant now);
+    /** Returns whether a registration was sent before the removal of its upstream. */
     [[nodiscard]] bool departed_before(const upstream_entry& entry) const;
     void drop(const std::string& id);
     [[nodiscard]] bool has_announced_leave(const upstream_entry& entry) const;
--- a/modules/berylcrank_gateway/node/gateway_node.h
+++ b/modules/berylcrank_gateway/node/gateway_node.h
@@ -81,13 +81,14 @@
     void on_newer_state(const peer& from, instant now);
     void pull_state(const peer& from);
     void pull_state_if_due(instant now);
-    bool apply_record(record_source source, const state_record& it, bool after_outage);
-    bool apply_operator_record(const state_record& it);
-    bool apply_upstream_record(const state_record& it, bool after_outage);
+    record_effect apply_record(record_source source, const state_record& it, bool after_outage);
+    record_effect apply_operator_record(const state_record& it);
+    record_effect apply_upstream_record(const state_record& it, bool after_outage);
     [[nodiscard]] bool keeps_record(record_source source, const state_record& known,
                                     const state_record& restored) const;
-    /** Removes an upstream whose latest registration cannot be read. Returns true, as for a change. */
-    bool drop_unreadable_upstream(const state_record& it, std::string_view reason);
+    void log_superseded(const state_record& it);
+    /** Removes an upstream whose latest registration cannot be read. */
+    record_effect drop_unreadable_upstream(const state_record& it, std::string_view reason);
     void check_stop(instant now);
     void report_memory(instant now);
     void report_connections(instant now);
--- a/modules/berylcrank_gateway/node/gateway_node_records.cpp
+++ b/modules/berylcrank_gateway/node/gateway_node_records.cpp
@@ -73,7 +73,7 @@
     });
 }
 
-bool gateway_node::apply_record(record_source source, const state_record& it, bool after_outage) {
+record_effect gateway_node::apply_record(record_source source, const state_record& it, bool after_outage) {
     return source == record_source::operators ? apply_operator_record(it)
                                               : apply_upstream_record(it, after_outage);
 }
@@ -104,7 +104,7 @@
     return false;
 }
 
-bool gateway_node::apply_operator_record(const state_record& it) {
+record_effect gateway_node::apply_operator_record(const state_record& it) {
     std::string domain;
     const auto kind = node_.wire.classify(it.key, domain);
     if (kind == operator_record::evacuation) {
@@ -118,39 +118,54 @@
         log_.line(it.removed ? "domain-taken-back" : "domain-evacuated")
             .field("failure_domain", domain)
             .send();
-        return true;
+        return record_effect::changed;
     }
     if (kind != operator_record::configuration || it.removed) {
-        return false;
+        return record_effect::unchanged;
     }
-    boost::leaf::try_handle_all(
-        [&]() -> boost::leaf::result<void> {
+    return boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<record_effect> {
             BOOST_LEAF_AUTO(config, node_.wire.read_config(it.value));
             const auto version = config.version;
             if (node_.apply_config(std::move(config))) {
                 log_.line("config-applied").field("version", version).field("offset", it.offset).send();
+            } else if (version < node_.routes.version()) {
+                log_superseded(it);
+                return record_effect::superseded;
             }
-            return {};
+            return record_effect::changed;
         },
         [&](const std::string& reason) {
             node_.metrics.count_event("unreadable-config");
             log_.line("config-unreadable").field("offset", it.offset).field("reason", reason).send();
+            return record_effect::changed;
         },
-        [&] { node_.metrics.count_event("unreadable-config"); });
-    return true;
+        [&] {
+            node_.metrics.count_event("unreadable-config");
+            return record_effect::changed;
+        });
 }
 
-bool gateway_node::apply_upstream_record(const state_record& it, bool after_outage) {
+void gateway_node::log_superseded(const state_record& it) {
+    node_.metrics.count_event("superseded-record");
+    log_.line("record-superseded").field("key", it.key).field("offset", it.offset).send();
+}
+
+record_effect gateway_node::apply_upstream_record(const state_record& it, bool after_outage) {
     const auto now = time_.now();
     if (it.removed) {
         log_.line("upstream-removed").field("upstream", it.key).field("after_outage", after_outage).send();
         node_.upstreams.remove(it.key, after_outage, now, it.epoch);
-        return true;
+        return record_effect::changed;
     }
     return boost::leaf::try_handle_all(
-        [&]() -> boost::leaf::result<bool> {
+        [&]() -> boost::leaf::result<record_effect> {
             BOOST_LEAF_AUTO(entry, node_.wire.read_upstream(it.key, it.value));
             entry.epoch = it.epoch;
+            if (node_.upstreams.is_superseded(entry)) {
+                log_superseded(it);
+                return record_effect::superseded;
+            }
             const auto* service = node_.routes.service(entry.service);
             const auto changed =
                 node_.upstreams.apply(entry, service == nullptr ? millis{} : service->warm_up, now);
@@ -163,17 +178,17 @@
                     .field("cold_ms", entry.cold_left.count())
                     .send();
             }
-            return changed != nullptr;
+            return changed ? record_effect::changed : record_effect::unchanged;
         },
         [&](const std::string& reason) { return drop_unreadable_upstream(it, reason); },
         [&] { return drop_unreadable_upstream(it, "unknown"); });
 }
 
-bool gateway_node::drop_unreadable_upstream(const state_record& it, std::string_view reason) {
+record_effect gateway_node::drop_unreadable_upstream(const state_record& it, std::string_view reason) {
     node_.metrics.count_event("unreadable-upstream");
     log_.line("upstream-unreadable").field("upstream", it.key).field("reason", reason).send();
     node_.upstreams.remove(it.key, false, time_.now(), it.epoch);
-    return true; // other nodes may know the upstream by its former record
+    return record_effect::changed; // other nodes may know the upstream by its former record
 }
 
 } // namespace berylcrank
--- a/modules/berylcrank_gateway/state/state_follower.h
+++ b/modules/berylcrank_gateway/state/state_follower.h
@@ -47,8 +47,9 @@
 */
 class state_follower {
 public:
-    /** Applies a record. Returns true if it changed the node's state. */
-    using change_handler = std::function<bool(record_source, const state_record&, bool after_outage)>;
+    /** Applies a record. @see record_table::change_handler */
+    using change_handler =
+        std::function<record_effect(record_source, const state_record&, bool after_outage)>;
 
     /** Returns whether a known record stays in place of the one that a restored store holds.
         @see record_table::keep_handler */
--- a/tests/balance/catalog_test.cpp
+++ b/tests/balance/catalog_test.cpp
@@ -13,10 +13,10 @@
 
 struct record_table_fixture {
     std::vector<state_record> seen;
-    bool changes_view{true};
+    record_effect effect{record_effect::changed};
     record_table subject{[this](const state_record& it) {
         seen.push_back(it);
-        return changes_view;
+        return effect;
     }};
 };
 
@@ -71,7 +71,7 @@
 TEST_CASE_FIXTURE(record_table_fixture,
                   "record_table, records without a change, are not returned to other nodes") {
     subject.merge(std::vector<state_record>{{.key = "a", .offset = 0, .value = "1"}}, 1, at(10));
-    changes_view = false;
+    effect = record_effect::unchanged;
     subject.merge(std::vector<state_record>{{.key = "a", .offset = 1, .value = "1"}}, 2, at(20));
     CHECK(subject.since(1).empty());
     CHECK(subject.since(0).size() == 1);
@@ -122,6 +122,97 @@
     CHECK(seen.back().key == "a");
 }
 
+// Guards against other nodes that learn from this one what it has itself recognized as outdated: a write that
+// the store executed late.
+TEST_CASE_FIXTURE(record_table_fixture,
+                  "record_table, superseded record, other nodes get what was in force before it") {
+    subject.merge(std::vector<state_record>{{.key = "a", .offset = 0, .value = "1"},
+                                            {.key = "b", .offset = 1, .value = "7"}},
+                  2, at(10));
+    subject.merge(std::vector<state_record>{{.key = "a", .offset = 2, .removed = true}}, 3, at(20));
+    effect = record_effect::superseded;
+    subject.merge(std::vector<state_record>{{.key = "a", .offset = 3, .value = "0"},
+                                            {.key = "b", .offset = 4, .value = "6"},
+                                            {.key = "c", .offset = 5, .value = "1"}},
+                  6, at(30));
+    const auto records = subject.since(0);
+    REQUIRE(records.size() == 3);
+    CHECK(records[0].removed);
+    CHECK(records[1].value == "7");
+    CHECK(records[2].removed); // its upstream left before this table was complete
+    REQUIRE(subject.since(2).size() == 1);
+    CHECK(subject.since(2)[0].key == "a");
+    CHECK(subject.changed() == 3);
+    CHECK(subject.end() == 6);
+}
+
+// Guards against a superseded record whose key outlives its absence in a later snapshot, and against one that
+// hides a newer record.
+TEST_CASE_FIXTURE(record_table_fixture,
+                  "record_table, record after a superseded one, is applied by its position") {
+    subject.merge(std::vector<state_record>{{.key = "a", .offset = 0, .value = "7"}}, 1, at(10));
+    effect = record_effect::superseded;
+    subject.merge(std::vector<state_record>{{.key = "a", .offset = 4, .value = "6"}}, 5, at(20));
+    effect = record_effect::changed;
+    subject.merge(std::vector<state_record>{{.key = "a", .offset = 3, .value = "5"}}, 5, at(30));
+    CHECK(seen.size() == 2);
+    subject.merge(std::vector<state_record>{{.key = "a", .offset = 5, .value = "8"}}, 6, at(40));
+    CHECK(seen.back().value == "8");
+    subject.merge_snapshot({}, 9, at(50));
+    CHECK(seen.back().removed);
+}
+
+// Guards against requests to an upstream that has left, because the store executed one of its writes after
+// the removal.
+TEST_CASE_FIXTURE(directory_fixture,
+                  "upstream_directory, late registration of an upstream that has left, is ignored") {
+    subject.apply(entry("a", 100, 7), warm_up, at(0));
+    subject.remove("a", false, at(10));
+    CHECK(subject.is_superseded(entry("a", 100, 5)));
+    CHECK_FALSE(subject.apply(entry("a", 100, 5), warm_up, at(20)));
+    CHECK_FALSE(subject.apply(entry("a", 90, 50), warm_up, at(30))); // of the start before
+    CHECK(subject.find("a") == nullptr);
+    CHECK(subject.apply(entry("a", 100, 8), warm_up, at(40))); // it had not left
+    subject.remove("a", false, at(50));
+    CHECK(subject.apply(entry("a", 200, 1), warm_up, at(60))); // a new start
+}
+
+// Guards against a draining upstream that a late write makes ready again, also after its removal.
+TEST_CASE_FIXTURE(directory_fixture,
+                  "upstream_directory, late registration of a draining upstream, changes nothing") {
+    auto draining = entry("a", 100, 7);
+    draining.draining = true;
+    subject.apply(entry("a", 100, 6), warm_up, at(0));
+    subject.apply(draining, warm_up, at(10));
+    CHECK_FALSE(subject.apply(entry("a", 100, 5), warm_up, at(20)));
+    CHECK_FALSE(subject.usable(*subject.find("a")));
+    subject.remove("a", false, at(30));
+    CHECK_FALSE(subject.apply(entry("a", 100, 5), warm_up, at(40)));
+}
+
+// Guards against the same for an upstream whose registration expired during an outage of the store.
+TEST_CASE_FIXTURE(directory_fixture,
+                  "upstream_directory, late registration after the end of a lapse, is ignored") {
+    subject.apply(entry("a", 100, 7), warm_up, at(0));
+    subject.remove("a", true, at(10));
+    subject.expire(at(10) + upstream_directory::lapse_grace);
+    CHECK_FALSE(subject.apply(entry("a", 100, 6), warm_up, at(5000)));
+    CHECK(subject.apply(entry("a", 100, 8), warm_up, at(6000)));
+}
+
+// Guards against a full memory of removed upstreams that takes in no further one.
+TEST_CASE_FIXTURE(directory_fixture,
+                  "upstream_directory, more upstreams leave than are remembered, forgets the oldest") {
+    for (int n = 0; n < 5000; ++n) {
+        const auto id = "u" + std::to_string(n);
+        subject.apply(entry(id, 100, 7), warm_up, at(n));
+        subject.remove(id, false, at(n));
+    }
+    CHECK_FALSE(subject.apply(entry("u4999", 100, 5), warm_up, at(6000)));
+    CHECK_FALSE(subject.apply(entry("u1000", 100, 5), warm_up, at(6000)));
+    CHECK(subject.apply(entry("u0", 100, 5), warm_up, at(6000)));
+}
+
 // Guards against using an upstream that has left because a restored store still lists it.
 TEST_CASE_FIXTURE(
     directory_fixture,
--- a/tests/gateway/state_follower_test.cpp
+++ b/tests/gateway/state_follower_test.cpp
@@ -95,7 +95,7 @@
                     if (source == record_source::upstreams) {
                         received[static_cast<std::size_t>(i)].emplace_back(it.key, after_outage);
                     }
-                    return it.value != "beat";
+                    return it.value == "beat" ? record_effect::unchanged : record_effect::changed;
                 }));
         }
     }
--- a/tests/gateway/store_epoch_test.cpp
+++ b/tests/gateway/store_epoch_test.cpp
@@ -70,7 +70,7 @@
                 1000,
                 [this](record_source, const state_record& it, bool after_outage) {
                     applied.push_back({it.key, it.value, after_outage});
-                    return true;
+                    return record_effect::changed;
                 },
                 [](record_source source, const state_record& known, const state_record& restored) {
                     return source == operators && restored.value < known.value;
--- a/tests/process/gateway_store_test.cpp
+++ b/tests/process/gateway_store_test.cpp
@@ -26,6 +26,15 @@
             2000);
     }
 
+    // Writes a registration behind the earlier ones and waits until the first `count` nodes have applied it.
+    void write_and_wait_for_later_record(std::size_t count) {
+        const auto& later = *subject.workers_of("files")[0];
+        subject.put_worker_record(later, "draining", 2);
+        for (std::size_t n = 0; n < count; ++n) {
+            subject.nodes()[n].process->wait_line("\"address\":\"" + later.address + "\",\"draining\":true");
+        }
+    }
+
     bool any_node_reports(const std::string& path, const std::string& text) {
         for (const auto& node : subject.nodes()) {
             if (send({.address = node.control, .path = path}).body.find(text) != std::string::npos) {
@@ -81,6 +90,55 @@
     wait_everywhere("/l/a", 503);
 }
 
+// Guards against requests to an upstream that has left, because the store executed a heartbeat after the
+// removal: at the nodes that have seen the removal, and at one that was paused and gets the records from
+// them.
+TEST_CASE_FIXTURE(gateway_store_fixture,
+                  "gateway, heartbeat is executed after the removal, no node uses the upstream") {
+    const auto& left = *subject.workers_of("lookups")[0];
+    const auto& remaining = *subject.workers_of("lookups")[1];
+    const auto& paused = subject.nodes()[2];
+    paused.process->send(SIGSTOP);
+    subject.put_worker_record(left, "ready", 7);
+    subject.remove_worker_record(left);
+    for (std::size_t n = 0; n < 2; ++n) {
+        subject.nodes()[n].process->wait_line("\"event\":\"upstream-removed\",\"upstream\":\"" + left.id);
+    }
+    subject.put_worker_record(left, "ready", 5);
+    write_and_wait_for_later_record(2);
+    subject.set_store_outage("silent");
+    paused.process->send(SIGCONT);
+    paused.process->wait_line("\"event\":\"upstream-removed\",\"upstream\":\"" + left.id);
+    for (const auto& it : subject.nodes()) {
+        for (int n = 0; n < 8; ++n) {
+            const auto response = subject.request(it, "GET", "/l/a", "h-" + std::to_string(++ids));
+            CHECK(response.header("Server-Signature") == remaining.id);
+        }
+    }
+}
+
+// Guards against a node that gets an older configuration from its peers, because the store executed its write
+// after that of the newer one.
+TEST_CASE_FIXTURE(
+    gateway_store_fixture,
+    "gateway, older configuration is executed last, a paused node gets the newer one from peers") {
+    const auto& paused = subject.nodes()[2];
+    paused.process->send(SIGSTOP);
+    subject.put_operator_record("config", platform_deployment::config(5, new_route));
+    for (std::size_t n = 0; n < 2; ++n) {
+        subject.nodes()[n].process->wait_line("\"event\":\"config-applied\",\"version\":5");
+    }
+    subject.put_operator_record("config", platform_deployment::config(3));
+    subject.put_operator_record("evacuate/south", "{}");
+    for (std::size_t n = 0; n < 2; ++n) {
+        subject.nodes()[n].process->wait_line("\"event\":\"domain-evacuated\"");
+    }
+    subject.set_store_outage("silent");
+    paused.process->send(SIGCONT);
+    paused.process->wait_line("\"event\":\"domain-evacuated\"");
+    CHECK(status(2, "/new/a") == 200);
+}
+
 // Guards against nodes that stop serving, or lose their upstreams, because the store is unavailable.
 TEST_CASE_FIXTURE(gateway_store_fixture, "gateway, store refuses, is silent and recovers, keeps serving") {
     for (const auto* outage : {"refuse", "silent"}) {
