Count the credits of a traffic split in requests, for the services and proportions in force

What callers saw: after the weights of a split had changed from 500 and 500 to 1 and 0, orders still ran at the service of weight 0.

Cause: weighted_split kept the credits of a route, sums of weights, across configurations and started anew only if the number of parts changed. Credits of hundreds met weights that move them by 1 per request.

Ruled out: nodes without the new configuration.

Change: credits are in requests whatever the scale, and belong to the services and proportions for which they were counted. A configuration that changes these starts a new sequence; one that keeps them goes on with it, so that frequent changes elsewhere do not send the first requests to one part. Parts of weight 0 are never candidates; if all weights are 0, the parts count as equal (before, the last one got everything). Weights that are not finite count as 0.

Looked at as well, kept under a name across configurations: retry budgets and arrival rates (counts of requests in a window), medians of durations, sizes and prior waits (estimates, no destination), limits of cold upstreams and probes (by upstream), accounts (replaced): sound. The own interface has no splits.

Result: four of the five new cases of balance_test failed before; the fifth guards the restart.

--- a/tests/balance/config_test.cpp
+++ b/tests/balance/config_test.cpp
@@ -20,6 +20,23 @@
     }
 };
 
+using parts_list = std::vector<traffic_part>;
+
+parts_list two_parts(double first, double second) {
+    return {{.service = "a", .weight = first}, {.service = "b", .weight = second}};
+}
+
+// Counts the services of the next `n` requests of one route.
+std::map<std::string, int> count_picks(weighted_split& subject, const parts_list& parts, int n) {
+    std::map<std::string, int> counts;
+    for (int i = 0; i < n; ++i) {
+        ++counts[subject.pick("r", parts).service];
+    }
+    return counts;
+}
+
+const std::vector<double> phases = {0.0, 0.3, 0.5, 0.99};
+
 } // namespace
 
 // A request must not be sent to the service of a less specific route.
@@ -75,4 +92,75 @@
     }
 }
 
+// Guards against a service that a configuration takes out of a split and that goes on receiving requests,
+// because the weights of the configuration before were on a larger scale.
+TEST_CASE("weighted_split, weight becomes zero on a smaller scale, never picks that part") {
+    for (const double phase : phases) {
+        for (int before = 0; before < 4; ++before) {
+            weighted_split subject(phase);
+            count_picks(subject, two_parts(500, 500), before);
+            CHECK(count_picks(subject, two_parts(1, 0), 300)["b"] == 0);
+            CHECK(count_picks(subject, two_parts(0, 1e-9), 300)["a"] == 0);
+        }
+    }
+}
+
+// Guards against the state of an earlier configuration that distorts the proportions of the one in force.
+TEST_CASE("weighted_split, weights on any scale after others, keeps the new proportions") {
+    for (const double phase : phases) {
+        weighted_split subject(phase);
+        for (const double scale : {1.0, 1e9, 1e-9, 1e300, 3.0, 1e-300}) {
+            CAPTURE(scale);
+            count_picks(subject, two_parts(scale, 999 * scale), 7);
+            const auto counts = count_picks(subject, two_parts(3 * scale, scale), 100);
+            CHECK(counts.at("a") >= 74);
+            CHECK(counts.at("a") <= 76);
+        }
+    }
+}
+
+// Guards against a new service that inherits what the one at its place in the list had received.
+TEST_CASE("weighted_split, same weights for other services, starts their sequence anew") {
+    for (const double phase : phases) {
+        weighted_split subject(phase);
+        count_picks(subject, two_parts(3, 1), 2);
+        const parts_list other{{.service = "c", .weight = 3}, {.service = "d", .weight = 1}};
+        weighted_split unused(phase);
+        for (int i = 0; i < 20; ++i) {
+            CHECK(subject.pick("r", other).service == unused.pick("r", other).service);
+        }
+    }
+}
+
+// Guards against a restart of the sequence with each configuration, which would send the first requests after
+// each change of another route to the same part.
+TEST_CASE("weighted_split, same proportions on another scale, goes on with the sequence") {
+    for (const double phase : phases) {
+        weighted_split subject(phase);
+        int first = 0;
+        for (int version = 0; version < 100; ++version) {
+            const double scale = version % 2 == 0 ? 1 : 1000;
+            first += subject.pick("r", two_parts(2 * scale, scale)).service == "a" ? 1 : 0;
+        }
+        CHECK(first >= 66);
+        CHECK(first <= 68);
+    }
+}
+
+// Guards against a part of weight zero between others, and against a split without any weight.
+TEST_CASE("weighted_split, some or all weights zero, picks only the others or all parts equally") {
+    for (const double phase : phases) {
+        weighted_split subject(phase);
+        const parts_list middle{
+            {.service = "a", .weight = 1}, {.service = "b", .weight = 0}, {.service = "c", .weight = 1}};
+        CHECK(count_picks(subject, middle, 100)["b"] == 0);
+        const parts_list ends{
+            {.service = "a", .weight = 0}, {.service = "b", .weight = 1}, {.service = "c", .weight = 0}};
+        CHECK(count_picks(subject, ends, 100)["b"] == 100);
+        const auto first = count_picks(subject, two_parts(0, 0), 100)["a"];
+        CHECK(first >= 49);
+        CHECK(first <= 51);
+    }
+}
+
 } // namespace berylcrank
