Treat a response without a length as broken off if writing its request has failed

What callers saw: an upstream answered a long upload with a 200 without a length, sent part of the body and reset the connection while the upload was being written. The caller got the part as a complete response.

Cause: a write that meets the reset takes the error from the socket, and the read after it reports an orderly end. client_connection ignored the result of its writes and took that end for the end of the body.

Change: socket_writer keeps the error that ended it, and the connection ends its input with that error. A peer that closes only its own direction has sent a whole response, as before.

Same cause in the pool: a connection whose write had failed counted as written and could be used again; it is closed now.

--- a/modules/berylcrank_gateway/client/client_connection.cpp
+++ b/modules/berylcrank_gateway/client/client_connection.cpp
@@ -96,7 +96,7 @@
 }
 
 void client_connection::send() {
-    // Reading reports a failed write as the end of input, after a response that has already arrived.
+    // A failed write is handled at the end of input, after a response that has already arrived.
     writer_.write(std::move(request_), shared_from_this(), [](bool) {});
     request_.clear();
     wait_for_bytes();
@@ -143,9 +143,10 @@
         return;
     }
     if (ec) {
-        error_ = ec.message();
+        const auto& reason = writer_.error() ? writer_.error() : ec;
+        error_ = reason.message();
         closed_by_server_ = ec == boost::asio::error::eof || ec == boost::asio::error::connection_reset;
-        on_end_of_input(ec == boost::asio::error::eof);
+        on_end_of_input(reason == boost::asio::error::eof);
         return;
     }
     if (!call_) {
@@ -242,7 +243,8 @@
         }
         return;
     }
-    const bool reusable = stays_open && !bytes_left && !discarded_any_ && writer_.pending() == 0;
+    const bool is_written = writer_.pending() == 0 && !writer_.error();
+    const bool reusable = stays_open && !bytes_left && !discarded_any_ && is_written;
     auto* sink = call_->sink;
     call_.reset();
     idle_since_ = time_.now();
--- a/modules/berylcrank_gateway/client/client_connection.h
+++ b/modules/berylcrank_gateway/client/client_connection.h
@@ -123,6 +123,7 @@
     bool count_interim_response();
     void response_complete(bool bytes_left);
     void fail(call_failure reason);
+    /** `clean` states that the server has closed the connection and not reset it. */
     void on_end_of_input(bool clean);
     void close();
 
--- a/modules/berylcrank_gateway/http/socket_writer.cpp
+++ b/modules/berylcrank_gateway/http/socket_writer.cpp
@@ -6,7 +6,7 @@
 namespace berylcrank {
 
 void socket_writer::write(std::string bytes, const std::shared_ptr<void>& keep, done_handler done) {
-    if (failed_) {
+    if (error_) {
         done(false);
         return;
     }
@@ -31,7 +31,7 @@
             socket_.async_wait(boost::asio::ip::tcp::socket::wait_write, [this, keep](const auto& error) {
                 waiting_ = false;
                 if (error) {
-                    fail();
+                    fail(error);
                 } else {
                     flush(keep);
                 }
@@ -39,7 +39,7 @@
             return;
         }
         if (ec) {
-            fail();
+            fail(ec);
             return;
         }
         pending_ -= n;
@@ -55,8 +55,8 @@
     }
 }
 
-void socket_writer::fail() {
-    failed_ = true;
+void socket_writer::fail(const boost::system::error_code& ec) {
+    error_ = ec;
     queue_.clear();
     pending_ = 0;
     if (const auto done = std::exchange(done_, nullptr)) {
--- a/modules/berylcrank_gateway/http/socket_writer.h
+++ b/modules/berylcrank_gateway/http/socket_writer.h
@@ -26,16 +26,20 @@
     /** Number of bytes that the socket has not accepted yet. */
     [[nodiscard]] std::size_t pending() const { return pending_; }
 
+    /** Returns the error that ended writing, if any. A write that fails takes the error from the socket, so
+        that a later read reports an orderly end of input. */
+    [[nodiscard]] const boost::system::error_code& error() const { return error_; }
+
 private:
     void flush(const std::shared_ptr<void>& keep);
-    void fail();
+    void fail(const boost::system::error_code& ec);
 
     boost::asio::ip::tcp::socket& socket_;
     std::deque<std::string> queue_;
     std::size_t front_offset_{0};
     std::size_t pending_{0};
     bool waiting_{false};
-    bool failed_{false};
+    boost::system::error_code error_;
     done_handler done_;
 };
 
