Reset the connection of a response without a length that is not written to its end

What callers would see: a caller of HTTP/1.0 gets a response without a length up to the end of its connection. If the upstream broke off, the caller stalled or the process ended, the connection was closed in order, so that part of the body looked like all of it.

Cause: server_connection closed its socket in the same way for complete and incomplete responses.

Change: from the head of such a response until its last byte has been written, SO_LINGER makes each close a reset, also that by the kernel at the end of the process. Responses with a length or in chunks are closed as before, since a reset could discard earlier responses on the same connection.

The own interface (libmicrohttpd) was not tested.

--- a/modules/berylcrank_gateway/server/exchange.cpp
+++ b/modules/berylcrank_gateway/server/exchange.cpp
@@ -57,6 +57,7 @@
         text += "Transfer-Encoding: chunked\r\n";
     } else {
         close_after_ = true; // HTTP/1.0: the end of the connection marks the end of the body
+        connection->set_reset_on_close(true);
     }
     if (close_after_) {
         connection->discard_further_requests();
--- a/modules/berylcrank_gateway/server/server_connection.cpp
+++ b/modules/berylcrank_gateway/server/server_connection.cpp
@@ -255,11 +255,21 @@
     }
 }
 
+void server_connection::set_reset_on_close(bool resets) {
+    if (resets == resets_on_close_) {
+        return;
+    }
+    resets_on_close_ = resets;
+    boost::system::error_code ec;
+    socket_.set_option(boost::asio::socket_base::linger(resets, 0), ec);
+}
+
 void server_connection::close_gracefully() {
     if (shut_down_ || !open_) {
         return;
     }
     shut_down_ = true;
+    set_reset_on_close(false);
     last_activity_ = context_.time.now(); // the linger time starts when the last byte has been written
     no_more_requests_ = true;             // discards a request that arrives while the connection closes
     unparsed_.clear();
--- a/modules/berylcrank_gateway/server/server_connection.h
+++ b/modules/berylcrank_gateway/server/server_connection.h
@@ -98,6 +98,10 @@
     /** Number of requests without a complete response. */
     [[nodiscard]] std::size_t active() const { return pipeline_.size(); }
 
+    /** Sets whether a close resets the connection, also that at the end of the process. It does while a
+        response without a length is incomplete: an orderly close would mark the end of its body. */
+    void set_reset_on_close(bool resets);
+
     /** Discards all further requests, because a response has announced that the connection closes. */
     void discard_further_requests() { no_more_requests_ = true; }
 
@@ -135,6 +139,7 @@
     bool no_more_requests_{false};
     bool shut_down_{false};
     bool last_response_queued_{false};
+    bool resets_on_close_{false};
 };
 
 } // namespace berylcrank
