Reject responses whose connection closes within their head in http_transfer and http_fetch

What operators saw on other systems: a worker closed in the middle of its response's head, and callers got a 200 with an empty body, framed as whole.

Here, the parser of the gateway hands on complete heads only; no caller got a success in the test (orders and lookups, cut at five places), before or after this change. http_transfer (log service, VM list) and http_fetch (command line tools) did report a complete response with status 200 and an empty body.

Cause: libcurl returns success if a connection closes within the headers. The upstream transfers of the own interface parse the head themselves and checked it; these two did not.

Change: response_completeness observes the header lines. Without the empty line behind the final head, http_transfer returns refused and http_fetch fails. Module berylcrank_platform now depends on berylcrank_http for it.

--- a/modules/berylcrank_http/client/http_fetch.cpp
+++ b/modules/berylcrank_http/client/http_fetch.cpp
@@ -1,5 +1,7 @@
 #include "modules/berylcrank_http/client/http_fetch.h"
 
+#include "modules/berylcrank_http/client/response_completeness.h"
+
 #include <curl/curl.h>
 #include <memory>
 
@@ -26,6 +28,8 @@
     const std::unique_ptr<CURL, void (*)(CURL*)> easy(curl_easy_init(), curl_easy_cleanup);
     const auto url = "http://" + address + path;
     std::string body;
+    response_completeness completeness;
+    completeness.observe(easy.get());
     curl_easy_setopt(easy.get(), CURLOPT_URL, url.c_str());
     curl_easy_setopt(easy.get(), CURLOPT_PROXY, "");
     curl_easy_setopt(easy.get(), CURLOPT_NOSIGNAL, 1L);
@@ -36,6 +40,9 @@
     if (ec != CURLE_OK) {
         return boost::leaf::new_error(url + ": " + curl_easy_strerror(ec));
     }
+    if (!completeness.has_head()) {
+        return boost::leaf::new_error(url + ": the connection was closed within the head of the response");
+    }
     long status = 0;
     curl_easy_getinfo(easy.get(), CURLINFO_RESPONSE_CODE, &status);
     if (status != status_ok) {
--- a/modules/berylcrank_http/client/http_fetch.h
+++ b/modules/berylcrank_http/client/http_fetch.h
@@ -9,8 +9,8 @@
 
 /** Fetches `http://<address><path>` with a blocking call and returns the body of a 200 response.
 
-    For command line tools. Fails with a `std::string` message on a connection error, a timeout, another
-    status or a body above 256 MiB.
+    For command line tools. Fails with a `std::string` message on a connection error, an incomplete response,
+    a timeout, another status or a body above 256 MiB.
     @param address IP address and port.
     @param timeout Time limit for the whole transfer.
 */
--- a/modules/berylcrank_platform/berylcrank_platform.h
+++ b/modules/berylcrank_platform/berylcrank_platform.h
@@ -6,7 +6,7 @@
 
     Areas: http (blocking HTTP client), log (log service), vm_list (VM list).
 
-    Dependencies: berylcrank_core, libcurl, nlohmann-json, Boost.LEAF.
+    Dependencies: berylcrank_core, berylcrank_http, libcurl, nlohmann-json, Boost.LEAF.
 */
 
 #include "modules/berylcrank_platform/log/http_log_service.h"
--- a/modules/berylcrank_platform/http/http_transfer.cpp
+++ b/modules/berylcrank_platform/http/http_transfer.cpp
@@ -95,6 +95,7 @@
 
 void http_transfer::prepare(const std::string& url, millis timeout) {
     body_.clear();
+    completeness_.observe(easy_);
     curl_easy_setopt(easy_, CURLOPT_URL, url.c_str());
     curl_easy_setopt(easy_, CURLOPT_TIMEOUT_MS, static_cast<long>(timeout.count()));
 }
@@ -112,6 +113,9 @@
     body_.clear();
     if (code != CURLE_OK) {
         out.message = code == CURLE_ABORTED_BY_CALLBACK ? "cancelled" : curl_easy_strerror(code);
+    } else if (!completeness_.has_head()) {
+        out = {.what = http_result::kind::refused,
+               .message = "the connection was closed within the head of the response"};
     }
     return out;
 }
--- a/modules/berylcrank_platform/http/http_transfer.h
+++ b/modules/berylcrank_platform/http/http_transfer.h
@@ -2,6 +2,7 @@
 
 #include "modules/berylcrank_core/sync/mutex.h"
 #include "modules/berylcrank_core/time/millis.h"
+#include "modules/berylcrank_http/client/response_completeness.h"
 
 #include <atomic>
 #include <cstdint>
@@ -15,7 +16,8 @@
 struct http_result {
     enum class kind : std::uint8_t {
         completed,   ///< A complete response was received; `status` and `body` are set.
-        refused,     ///< The machine is reachable, but the connection was refused, reset or closed.
+        refused,     ///< The machine is reachable, but the connection was refused, reset or closed before the
+                     ///< end of the response.
         no_response, ///< The call timed out or was cancelled.
         invalid,     ///< The response is not valid HTTP or is too large.
     };
@@ -54,6 +56,7 @@
 
     mutex mutex_;
     std::string body_;
+    response_completeness completeness_;
     std::atomic<bool> cancelled_{false};
     CURL* easy_{nullptr};
     CURLM* multi_{nullptr};
