--- a/standins/platform_worker/worker.h
+++ b/standins/platform_worker/worker.h
@@ -20,7 +20,7 @@
 /** A worker of the platform. It runs requests in slots, sheds them when its queue is full and injects faults.
 
     - `POST
-   /control?mode=M&work=MS&slowness=N&warm-up=MS&bytes=N&leaving=1&retry-after=S&crash=TARGET&hang=TARGET&pieces=N&pause=MS`:
+   /control?mode=M&work=MS&slowness=N&warm-up=MS&bytes=N&leaving=1&retry-after=S&crash=TARGET&hang=TARGET&pieces=N&pause=MS&status=N&cut=N`:
    changes its behaviour.
     - `GET /received-in-pause`: number of requests received, health checks included, between half a second
    after the first response with `Retry-After` and the end of the time that it stated.
