Log the account of each request that is sent to an upstream

The hypotheses of docs/incidents/usage-caps-not-enforced.md differ in what the runs of one account consist of: first attempts or retries. The line `sent` named the route but not the account, so that logs could not tell them apart.

--- a/modules/berylcrank_gateway/flow/request_flow.cpp
+++ b/modules/berylcrank_gateway/flow/request_flow.cpp
@@ -179,6 +179,7 @@
     node_.log.line("sent")
         .field("request", id_)
         .field("route", route_->name)
+        .field("account", account_.value_or(""))
         .field("version", node_.routes.version())
         .field("upstream", picked.it->entry.id)
         .field("try", sent_count_)
