Charge responses that callers have not read to the memory account

Clients that pipeline downloads and read nothing could take all memory of a node, which the platform then kills.

Cause: requests were charged to the memory account of the node, responses were not; the limit on unsent bytes holds per request, and a connection may have 32. Ruled out: memory that the allocator does not return; a fixed threshold for mapped allocations changed nothing (59,516 and 59,396 KiB) and was dropped.

Change: one charge per connection for all that it holds for its caller. When memory is short, callers that have read nothing for 500 ms are closed first, then the connection that needs more. A short response always has the reserve for short charges; before, none fitted while a single request exceeded the account, which memory_limit_test showed.

New cases of gateway_crowd_test (bodies far over the limit, announced or just sent) pass with and without the change. In the sanitizer builds the test has not been run yet.

--- a/modules/berylcrank_gateway/flow/request_flow.cpp
+++ b/modules/berylcrank_gateway/flow/request_flow.cpp
@@ -246,17 +246,24 @@
         it.body.clear();
         return;
     }
+    // A write may detect that the caller has disconnected, or that memory is short, which ends the attempt
+    // and this flow.
+    const auto keep = it.shared_from_this();
+    const auto self = shared_from_this();
     if (streamed_attempt_ == nullptr && it.body.size() < node_.options.max_buffered_response_bytes) {
+        std::size_t buffered = 0;
+        for (const auto& one : attempts_) {
+            buffered += allocated_bytes(one->body);
+        }
+        caller_->keep(buffered);
         return;
     }
-    // A write may detect that the caller has disconnected, which ends the attempt and this flow.
-    const auto keep = it.shared_from_this();
-    const auto self = shared_from_this();
     if (streamed_attempt_ == nullptr) {
         streamed_attempt_ = &it;
         cancel_others(it);
         begin_response(it.head, it.head.length);
     }
+    caller_->keep(0); // of this attempt; the others are cancelled
     caller_->append(it.body);
     it.body.clear();
     if (done_ || abandoned_) {
@@ -362,6 +369,7 @@
 
 void request_flow::deliver_whole(const attempt& it, std::string_view result) {
     begin_response(it.head, it.body.size());
+    caller_->keep(0);
     caller_->append(it.body);
     caller_->finish();
     finish(result, it.head.status);
--- a/modules/berylcrank_gateway/http/message_parser.h
+++ b/modules/berylcrank_gateway/http/message_parser.h
@@ -16,6 +16,11 @@
     return size <= text.capacity() ? text.capacity() : 2 * size;
 }
 
+/** Bytes that a string has allocated. A short one is stored in the string object. */
+inline std::size_t allocated_bytes(const std::string& text) {
+    return text.capacity() > std::string().capacity() ? text.capacity() : 0;
+}
+
 /** Incremental parser of one HTTP/1.1 message, based on Boost.Beast. Stores the head and buffers the body for
     the owner. Drops trailers.
 
--- a/modules/berylcrank_gateway/http/socket_writer.cpp
+++ b/modules/berylcrank_gateway/http/socket_writer.cpp
@@ -55,6 +55,13 @@
     }
 }
 
+void socket_writer::clear() {
+    queue_.clear();
+    front_offset_ = 0;
+    pending_ = 0;
+    done_ = nullptr;
+}
+
 void socket_writer::fail(const boost::system::error_code& ec) {
     error_ = ec;
     queue_.clear();
--- a/modules/berylcrank_gateway/http/socket_writer.h
+++ b/modules/berylcrank_gateway/http/socket_writer.h
@@ -23,6 +23,9 @@
         still pending. */
     void write(std::string bytes, const std::shared_ptr<void>& keep, done_handler done);
 
+    /** Drops all queued bytes and their handler. Call this when the socket is closed. */
+    void clear();
+
     /** Number of bytes that the socket has not accepted yet. */
     [[nodiscard]] std::size_t pending() const { return pending_; }
 
--- a/modules/berylcrank_gateway/memory/memory_account.cpp
+++ b/modules/berylcrank_gateway/memory/memory_account.cpp
@@ -11,7 +11,7 @@
     return {.limit = limit, .short_reserve = limit / 8, .address_limit = limit / 4 * 3};
 }
 
-bool memory_account::resize(memory_charge& it, std::size_t bytes, instant now) {
+bool memory_account::resize(memory_charge& it, std::size_t bytes, instant now, bool is_progress) {
     while (bytes > it.bytes_) {
         const bool address_fits = fits_address(it, bytes);
         if (address_fits && fits(it, bytes)) {
@@ -22,14 +22,18 @@
             return false;
         }
     }
-    if (bytes >= it.bytes_) {
-        it.progress_ = now;
-        by_progress_.splice(by_progress_.end(), by_progress_, it.place_);
+    if (bytes >= it.bytes_ && (is_progress || it.bytes_ == 0)) {
+        note_progress(it, now);
     }
     set(it, bytes);
     return true;
 }
 
+void memory_account::note_progress(memory_charge& it, instant now) {
+    it.progress_ = now;
+    by_progress_.splice(by_progress_.end(), by_progress_, it.place_);
+}
+
 bool memory_account::fits(const memory_charge& it, std::size_t bytes) const {
     if (options_.limit == 0) {
         return true;
@@ -38,7 +42,10 @@
     if (is_long(bytes) && by_other_long + bytes > options_.limit - options_.short_reserve) {
         return by_other_long == 0; // A single request within the limits is served, whatever its size.
     }
-    return used_ - it.bytes_ + bytes <= options_.limit;
+    const auto others = used_ - it.bytes_;
+    const auto others_short = others - by_other_long;
+    return others + bytes <= options_.limit ||
+           (!is_long(bytes) && others_short + bytes <= options_.short_reserve);
 }
 
 bool memory_account::fits_address(const memory_charge& it, std::size_t bytes) const {
--- a/modules/berylcrank_gateway/memory/memory_account.h
+++ b/modules/berylcrank_gateway/memory/memory_account.h
@@ -11,7 +11,8 @@
 
 class memory_charge;
 
-/** Account of the bytes that a node keeps for the requests of its callers. Not thread-safe.
+/** Account of the bytes that a node keeps for the requests of its callers and the responses to them. Not
+    thread-safe.
 
     When a charge does not fit, the account sheds charges that can be shed and have made no progress for
     `stall_time`, the one without progress for the longest time first. A charge of up to `short_bytes` is
@@ -48,7 +49,8 @@
 private:
     friend class memory_charge;
 
-    bool resize(memory_charge& it, std::size_t bytes, instant now);
+    bool resize(memory_charge& it, std::size_t bytes, instant now, bool is_progress = true);
+    void note_progress(memory_charge& it, instant now);
     [[nodiscard]] bool fits(const memory_charge& it, std::size_t bytes) const;
     [[nodiscard]] bool fits_address(const memory_charge& it, std::size_t bytes) const;
     bool shed_one(const memory_charge& for_whom, bool same_address, instant now);
--- a/modules/berylcrank_gateway/memory/memory_charge.h
+++ b/modules/berylcrank_gateway/memory/memory_charge.h
@@ -23,6 +23,15 @@
        charge counts as progress. */
     [[nodiscard]] bool resize(std::size_t bytes, instant now) { return account_->resize(*this, bytes, now); }
 
+    /** Like resize(), but does not count as progress: for bytes that wait for a peer, whose progress is that
+        they become fewer. */
+    [[nodiscard]] bool resize_waiting(std::size_t bytes, instant now) {
+        return account_->resize(*this, bytes, now, false);
+    }
+
+    /** Counts progress of the peer. */
+    void note_progress(instant now) { account_->note_progress(*this, now); }
+
     /** Reduces the charge to at most `bytes`. */
     void reduce(std::size_t bytes);
 
--- a/modules/berylcrank_gateway/server/exchange.cpp
+++ b/modules/berylcrank_gateway/server/exchange.cpp
@@ -4,6 +4,7 @@
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
+#include <algorithm>
 
 namespace berylcrank {
 
@@ -45,6 +46,7 @@
         return;
     }
     begun_ = true;
+    charge_.reset(); // no further attempt needs a copy of the body, which kept_bytes() counts from now on
     // Later pipelined requests may already run; the response to the last of them closes the connection.
     close_after_ = !head.keep_alive || (connection->closing() && connection->is_last(*this));
     bodyless_ = head.method == "HEAD" || status == 204 || status == 304;
@@ -114,14 +116,31 @@
     return connection && !connection->is_first(*this);
 }
 
+bool exchange::keep(std::size_t bytes) {
+    const auto connection = connection_.lock();
+    if (disconnected_ || !connection) {
+        return false;
+    }
+    const bool grows = bytes > kept_by_handler_;
+    kept_by_handler_ = bytes;
+    return !grows || connection->charge_output(0);
+}
+
+std::size_t exchange::kept_bytes() const {
+    return allocated_bytes(out_) + kept_by_handler_ + (charge_ ? 0 : allocated_bytes(body));
+}
+
 void exchange::enqueue(std::string_view bytes) {
-    if (disconnected_) {
+    const auto connection = connection_.lock();
+    if (disconnected_ || !connection) {
         return;
     }
-    out_.append(bytes);
-    if (const auto connection = connection_.lock()) {
-        connection->flush();
+    const auto growth = grown_capacity(out_, bytes.size()) - std::min(out_.capacity(), out_.size());
+    if (!bytes.empty() && !connection->charge_output(growth)) {
+        return;
     }
+    out_.append(bytes);
+    connection->flush();
 }
 
 void exchange::on_caller_disconnected() {
--- a/modules/berylcrank_gateway/server/exchange.h
+++ b/modules/berylcrank_gateway/server/exchange.h
@@ -47,12 +47,16 @@
     /** Aborts the connection, so that the caller detects an incomplete response. */
     void abort();
 
-    /** Keeps the charge for the body until the exchange is destroyed. */
+    /** Keeps the charge for the body and its copies until the response begins. */
     void hold(std::unique_ptr<memory_charge> charge) { charge_ = std::move(charge); }
 
     [[nodiscard]] bool begun() const { return begun_; }
     [[nodiscard]] bool finished() const { return finished_; }
     [[nodiscard]] bool disconnected() const { return disconnected_; }
+    /** Charges bytes of the response that the handler keeps until it appends them. Returns false if memory is
+        short; the connection is aborted then. */
+    bool keep(std::size_t bytes);
+
     /** Number of bytes that are not written to the socket yet. */
     [[nodiscard]] std::size_t unsent_bytes() const;
     /** Returns true if an earlier request on the same connection has no complete response yet. */
@@ -62,11 +66,14 @@
     friend class server_connection;
 
     void enqueue(std::string_view bytes);
+    /** Bytes that this exchange or its handler keeps and that `charge_` does not contain. */
+    [[nodiscard]] std::size_t kept_bytes() const;
     void on_caller_disconnected();
 
     std::weak_ptr<server_connection> connection_;
     std::unique_ptr<memory_charge> charge_;
     std::string out_;
+    std::size_t kept_by_handler_{0};
     bool begun_{false};
     bool chunked_{false};
     bool bodyless_{false};
--- a/modules/berylcrank_gateway/server/server_connection.cpp
+++ b/modules/berylcrank_gateway/server/server_connection.cpp
@@ -18,12 +18,9 @@
 // one from which the second is serialized.
 constexpr std::size_t attempt_copies = 3;
 
-constexpr std::string_view retry_after_seconds = "1"; // of a request that is refused for lack of memory
+constexpr std::size_t max_spare_output = 16384; // bytes that queued output may have allocated beyond its size
 
-// Bytes that a string has allocated. A short one is stored in the string object.
-std::size_t allocated(const std::string& it) {
-    return it.capacity() > std::string().capacity() ? it.capacity() : 0;
-}
+constexpr std::string_view retry_after_seconds = "1"; // of a request that is refused for lack of memory
 
 std::string address_of(const boost::asio::ip::tcp::socket& socket) {
     boost::system::error_code ec;
@@ -38,7 +35,7 @@
 server_connection::server_connection(boost::asio::ip::tcp::socket socket, listener_context& context)
     : socket_(std::move(socket)), context_(context), limit_(context.connections), writer_(socket_),
       caller_(address_of(socket_)), input_charge_(context.memory, caller_, [this] { shed_input(); }),
-      last_activity_(context.time.now()) {
+      output_charge_(context.memory, caller_, [this] { shed_output(); }), last_activity_(context.time.now()) {
     boost::system::error_code ec;
     socket_.non_blocking(true, ec);
     socket_.set_option(boost::asio::ip::tcp::no_delay(true), ec);
@@ -109,7 +106,7 @@
         parser_->header_limit(limits.header_bytes);
     }
     reading_message_ = true;
-    if (!charge_input(parser_->capacity_with(bytes.size()), allocated(unparsed_))) {
+    if (!charge_input(parser_->capacity_with(bytes.size()), allocated_bytes(unparsed_))) {
         reject(503);
         return false;
     }
@@ -123,7 +120,7 @@
                                                              : 400);
         return false;
     }
-    if (!charge_input(parser_->capacity(), allocated(unparsed_))) { // the fields of the head take more
+    if (!charge_input(parser_->capacity(), allocated_bytes(unparsed_))) { // the fields of the head take more
         reject(503);
         return false;
     }
@@ -146,7 +143,7 @@
 void server_connection::request_complete() {
     auto parser = std::move(parser_);
     reading_message_ = false;
-    input_charge_.reduce(allocated(unparsed_));
+    input_charge_.reduce(allocated_bytes(unparsed_));
     auto charge = std::make_unique<memory_charge>(context_.memory, caller_);
     const auto& body = parser->body;
     if (!body.empty() &&
@@ -188,7 +185,7 @@
 
 void server_connection::reject(int status) {
     parser_.reset();
-    input_charge_.reduce(allocated(unparsed_));
+    input_charge_.reduce(allocated_bytes(unparsed_));
     reading_message_ = false;
     no_more_requests_ = true;
     const auto it = std::make_shared<exchange>(shared_from_this(), request_head{.keep_alive = false}, "",
@@ -204,8 +201,12 @@
     std::string out;
     while (!pipeline_.empty()) {
         const auto it = pipeline_.front();
-        out += it->out_;
-        it->out_.clear();
+        if (out.empty()) {
+            out = std::exchange(it->out_, {});
+        } else {
+            out += it->out_;
+            it->out_ = {};
+        }
         if (!it->finished_) {
             break;
         }
@@ -234,9 +235,13 @@
     last_activity_ = context_.time.now();
     no_more_requests_ = no_more_requests_ || last;
     last_response_queued_ = last;
+    if (out.capacity() - out.size() > max_spare_output) {
+        out.shrink_to_fit(); // the charge for the output counts its size
+    }
     if (!out.empty() || last) {
         writer_.write(std::move(out), self, [self, last = last](bool ok) { self->on_written(ok, last); });
     }
+    output_charge_.reduce(output_bytes());
     if (!unparsed_.empty() && pipeline_.size() < max_pipeline && open_) {
         const auto bytes = std::exchange(unparsed_, {});
         consume(bytes);
@@ -244,7 +249,44 @@
     }
 }
 
+std::size_t server_connection::output_bytes() const {
+    std::size_t n = writer_.pending();
+    for (const auto& it : pipeline_) {
+        n += it->kept_bytes();
+    }
+    return n;
+}
+
+bool server_connection::charge_output(std::size_t more) {
+    if (!open_) {
+        return false;
+    }
+    if (!output_charge_.resize_waiting(output_bytes() + more, context_.time.now())) {
+        abort();
+        return false;
+    }
+    return true;
+}
+
+// Closes the connection of a caller that does not read its responses.
+void server_connection::shed_output() {
+    if (writer_.pending() < last_pending_) {
+        note_output_progress(context_.time.now());
+        return;
+    }
+    abort();
+}
+
+void server_connection::note_output_progress(instant now) {
+    last_pending_ = writer_.pending();
+    output_charge_.note_progress(now);
+    output_charge_.reduce(output_bytes());
+}
+
 void server_connection::on_written(bool ok, bool last) {
+    if (ok) {
+        note_output_progress(context_.time.now());
+    }
     if (!ok) {
         on_end_of_input();
     } else if (last) {
@@ -300,11 +342,13 @@
     const auto self = shared_from_this();
     boost::system::error_code ec;
     socket_.close(ec);
+    writer_.clear();
     const auto left = std::move(pipeline_);
     pipeline_.clear();
     for (const auto& it : left) {
         it->on_caller_disconnected();
     }
+    output_charge_.reduce(0);
 }
 
 void server_connection::refuse_and_close() {
@@ -319,7 +363,7 @@
     }
     const auto pending = writer_.pending();
     if (pending != last_pending_) {
-        last_pending_ = pending;
+        note_output_progress(now);
         last_activity_ = now; // the caller is reading its response
     }
     const auto idle_time = now - last_activity_;
--- a/modules/berylcrank_gateway/server/server_connection.h
+++ b/modules/berylcrank_gateway/server/server_connection.h
@@ -34,9 +34,9 @@
     responses to earlier ones. Its listener owns it until it is closed, and it notifies its exchanges when it
     closes before their responses are complete.
 
-    The memory for input and bodies is charged to the account of the node before it is allocated. If the
-   account is short, the request gets a response with status 503 before it is forwarded, and the connection
-   closes.
+    The memory for input, bodies and responses is charged to the account of the node before it is allocated.
+    If the account is short, a request gets a response with status 503 before it is forwarded, and the
+    connection closes; a connection whose caller does not read its responses is aborted.
 
     When the handler is closing, no further request is accepted behind those that it processes; the connection
     closes behind their last response.
@@ -87,6 +87,10 @@
     [[nodiscard]] instant last_activity() const { return last_activity_; }
     /** Returns true if responses ask the caller to close the connection. */
     [[nodiscard]] bool closing() const { return context_.handler.closing(); }
+    /** Charges the responses that wait for the caller and `more` bytes to be added to them. Aborts the
+        connection and returns false if memory is short. */
+    bool charge_output(std::size_t more);
+
     /** Number of bytes that the socket has not accepted yet. */
     [[nodiscard]] std::size_t pending() const { return writer_.pending(); }
     [[nodiscard]] bool is_first(const exchange& it) const {
@@ -115,6 +119,9 @@
     bool charge_input(std::size_t parser_bytes, std::size_t unparsed_bytes);
     void keep_unparsed(std::string_view bytes);
     void shed_input();
+    [[nodiscard]] std::size_t output_bytes() const;
+    void shed_output();
+    void note_output_progress(instant now);
     void on_end_of_input();
     std::pair<std::string, bool> take_ready_output();
     void discard_input();
@@ -129,8 +136,9 @@
     std::string caller_; // IP address
     std::unique_ptr<request_parser> parser_;
     std::deque<exchange_ptr> pipeline_;
-    std::string unparsed_;       // bytes that arrived while the pipeline was full
-    memory_charge input_charge_; // for parser_ and unparsed_
+    std::string unparsed_;        // bytes that arrived while the pipeline was full
+    memory_charge input_charge_;  // for parser_ and unparsed_
+    memory_charge output_charge_; // for responses, in the pipeline and in the writer
     instant last_activity_;
     std::size_t last_pending_{0}; // at the last check of the timeouts
     bool open_{true};
--- a/tests/gateway/memory_limit_test.cpp
+++ b/tests/gateway/memory_limit_test.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 #include <functional>
+#include <vector>
 
 namespace berylcrank {
 
@@ -135,4 +136,77 @@
     CHECK(account->used() == 0);
 }
 
+/** A listener whose account holds little more than one response, and callers that do not read. */
+struct unread_response_fixture : memory_limit_fixture {
+    static constexpr std::size_t response_bytes = 16U << 20U; // more than the buffers of a connection hold
+
+    std::shared_ptr<memory_account> responses = std::make_shared<memory_account>(memory_account::options{
+        .limit = 3 * response_bytes, .short_reserve = 20000, .address_limit = 3 * response_bytes});
+    listener_context response_context{.time = time,
+                                      .handler = handler,
+                                      .limits =
+                                          std::bind_front(&unread_response_fixture::current_limits, this),
+                                      .memory = responses};
+    http_listener listener{io, "127.0.0.1:0", response_context};
+
+    // Sends a request and has the handler respond to it. Returns the connection.
+    tcp::socket request_response() {
+        tcp::socket caller(io);
+        caller.connect({boost::asio::ip::address_v4::loopback(), listener.port()});
+        boost::asio::write(caller, boost::asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+        caller.non_blocking(true);
+        run_ready();
+        REQUIRE_FALSE(handler.held.empty());
+        handler.held.back()->respond(200, "OK", {}, std::string(response_bytes, 'x'));
+        handler.held.clear();
+        run_ready();
+        return caller;
+    }
+
+    // Reads until the connection ends or the whole response has arrived. Returns the number of bytes.
+    std::size_t read_all(tcp::socket& caller) {
+        std::vector<char> buf(1U << 20U);
+        std::size_t total = 0;
+        boost::system::error_code ec;
+        while (total < response_bytes) {
+            const auto n = caller.read_some(boost::asio::buffer(buf), ec);
+            if (ec == boost::asio::error::would_block) {
+                io.restart();
+                io.poll();
+                continue;
+            }
+            if (ec) {
+                break;
+            }
+            total += n;
+        }
+        return total;
+    }
+};
+
+// Guards against responses that callers do not read and that keep the memory of all others.
+TEST_CASE_FIXTURE(
+    unread_response_fixture,
+    "http_listener, caller does not read its response and memory is short, closes it for another") {
+    auto first = request_response();
+    CHECK(responses->used() > 0);
+    time.advance(millis{600});
+    auto second = request_response();
+    auto third = request_response();
+    CHECK(responses->shed() > 0);
+    CHECK(responses->used() <= 3 * response_bytes);
+    CHECK(read_all(first) < response_bytes);
+    CHECK(read_all(second) >= response_bytes);
+}
+
+// Guards against a charge for a response that stays after it is read, or after its caller has left.
+TEST_CASE_FIXTURE(unread_response_fixture,
+                  "http_listener, responses are read or given up, nothing stays charged") {
+    { auto left = request_response(); }
+    auto read = request_response();
+    CHECK(read_all(read) >= response_bytes);
+    run_ready();
+    CHECK(responses->used() == 0);
+}
+
 } // namespace berylcrank
--- a/tests/process/gateway_crowd_test.cpp
+++ b/tests/process/gateway_crowd_test.cpp
@@ -152,6 +152,20 @@
     check_node();
 }
 
+// Guards against a body far over the limit that is read, whether its length says so or not.
+TEST_CASE_FIXTURE(gateway_crowd_fixture,
+                  "gateway, many bodies announce a length far over the limit, memory stays bounded") {
+    send_from_all(node().front, head(absl::StrCat("Content-Length: ", 100 * body_bytes)) +
+                                    std::string(2 * body_bytes, 'x'));
+    check_node();
+}
+
+TEST_CASE_FIXTURE(gateway_crowd_fixture,
+                  "gateway, many bodies grow far over the limit, memory stays bounded") {
+    send_from_all(node().front, chunked_body(3 * body_bytes, 32768));
+    check_node();
+}
+
 // Guards against a bound that holds only for the listener for callers' requests.
 TEST_CASE_FIXTURE(gateway_crowd_fixture,
                   "gateway, many bodies stop short at the directory listener, memory stays bounded") {
--- a/tests/support/raw_socket.cpp
+++ b/tests/support/raw_socket.cpp
@@ -38,8 +38,15 @@
     : socket_(std::exchange(other.socket_, -1)), buffer_(std::move(other.buffer_)) {}
 
 raw_connection raw_connection::to(const std::string& address) {
+    return with_receive_buffer(address, 0);
+}
+
+raw_connection raw_connection::with_receive_buffer(const std::string& address, int bytes) {
     const auto target = loopback(std::stoi(address.substr(address.rfind(':') + 1)));
     const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (bytes > 0) {
+        setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+    }
     if (connect(fd, reinterpret_cast<const sockaddr*>(&target), sizeof(target)) != 0) {
         ::close(fd);
         throw std::runtime_error("cannot connect to " + address);
--- a/tests/support/raw_socket.h
+++ b/tests/support/raw_socket.h
@@ -19,6 +19,9 @@
         fails. */
     static raw_connection to(const std::string& address);
 
+    /** Connects like `to`, with a receive buffer of about `bytes`, for a client that reads slowly. */
+    static raw_connection with_receive_buffer(const std::string& address, int bytes);
+
     /** Sends all bytes. Returns false on an error, e.g. if the peer has closed the connection. */
     bool send(const std::string& bytes) const;
 
