End requests for tokens after a configuration without usage caps

A request that waited for a token when a configuration removed all caps was held until its deadline, since the periodic work of the caps stopped with them. Found by reading; no run showed it. The work now goes on while a request waits. The end of loans is a single pass, as no loan can end during it.

--- a/modules/berylcrank_balance/usage/usage_holder.cpp
+++ b/modules/berylcrank_balance/usage/usage_holder.cpp
@@ -88,25 +88,25 @@
 }
 
 void usage_holder::expire(instant now) {
-    while (now >= next_expiry_) {
-        // In the order of their ends, so that each bucket fills with what was lent at each moment.
-        std::vector<std::pair<instant, std::uint64_t>> ended;
-        next_expiry_ = instant::never();
-        for (const auto& [owner, it] : loans_) {
-            if (it.end <= now) {
-                ended.emplace_back(it.end, owner);
-            } else {
-                next_expiry_ = std::min(next_expiry_, it.end);
-            }
-        }
-        std::sort(ended.begin(), ended.end());
-        const auto next = next_expiry_;
-        for (const auto& [end, owner] : ended) {
-            set_loan(owner, {.end = instant::never()}, end);
-            loans_.erase(owner);
+    if (now < next_expiry_) {
+        return;
+    }
+    std::vector<std::pair<instant, std::uint64_t>> ended;
+    auto next = instant::never();
+    for (const auto& [owner, it] : loans_) {
+        if (it.end <= now) {
+            ended.emplace_back(it.end, owner);
+        } else {
+            next = std::min(next, it.end);
         }
-        next_expiry_ = next;
     }
+    // In the order of their ends, so that each bucket fills with what was lent at each moment.
+    std::sort(ended.begin(), ended.end());
+    for (const auto& [end, owner] : ended) {
+        set_loan(owner, {.end = instant::never()}, end);
+        loans_.erase(owner);
+    }
+    next_expiry_ = next;
 }
 
 void usage_holder::change_share(std::size_t group, std::int64_t by, instant now) {
--- a/modules/berylcrank_gateway/node/gateway_node_usage.cpp
+++ b/modules/berylcrank_gateway/node/gateway_node_usage.cpp
@@ -34,7 +34,9 @@
 void gateway_node::tick_usage(instant now) {
     // Without a list of nodes, this node would take its part of the caps for too large.
     const bool knows_nodes = has_node_list_ || now - started_ > max_node_list_wait;
-    if (!node_.accounts.has_caps() || !follower_.complete() || !knows_nodes) {
+    // Requests for tokens end also after a configuration without caps.
+    const bool has_work = node_.accounts.has_caps() || node_.usage.client().pending() > 0;
+    if (!has_work || !follower_.complete() || !knows_nodes) {
         return;
     }
     if (now >= next_usage_nodes_) {
