Send pledges for usage caps to the holders only

Since the early start after a restart, each node sent pledges to all 16 nodes that may hold caps, instead of the four that do.

--- a/modules/berylcrank_balance/usage/usage_owner.cpp
+++ b/modules/berylcrank_balance/usage/usage_owner.cpp
@@ -113,11 +113,15 @@
         }
     }
     send_pledge(self_, transport, now);
-    for (const auto& [number, it] : candidates_) {
-        const bool is_preferred = std::find(holders.begin(), holders.end(), number) != holders.end();
-        if (number != self_ && (is_preferred || it.contacted)) {
+    // Also to candidates before the last holder that have been silent, so that they are noticed when they
+    // return.
+    for (const auto number : order_) {
+        if (number != self_) {
             send_pledge(number, transport, now);
         }
+        if (!holders.empty() && number == holders.back()) {
+            break;
+        }
     }
 }
 
