Release the connection of a response that is never written

A connection with unsent output held itself: the handler of the write belongs to the writer, which is part of the connection. When the event loop is destroyed, the connection stays allocated. Evidence: LeakSanitizer in gateway_test with the new case of unread responses, 16,777,217 bytes; a running node was not affected, since its timeouts close such connections. The handler no longer owns the connection, which the pending operation of the socket keeps alive anyway. gateway_test passes in build, build-asan and build-tsan.

--- a/modules/berylcrank_gateway/server/server_connection.cpp
+++ b/modules/berylcrank_gateway/server/server_connection.cpp
@@ -239,7 +239,8 @@
         out.shrink_to_fit(); // the charge for the output counts its size
     }
     if (!out.empty() || last) {
-        writer_.write(std::move(out), self, [self, last = last](bool ok) { self->on_written(ok, last); });
+        // `self` keeps this connection alive; the handler itself must not, since the writer is part of it.
+        writer_.write(std::move(out), self, [this, last = last](bool ok) { on_written(ok, last); });
     }
     output_charge_.reduce(output_bytes());
     if (!unparsed_.empty() && pipeline_.size() < max_pipeline && open_) {
